--- /dev/null
+++ b/cmd/swiftbeam/daemon.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"swiftbeam/internal/daemon"
+	"swiftbeam/internal/setup"
+)
+
+// invalidInput is an error of what the user wrote.
+type invalidInput struct{ error }
+
+// report prints an error and returns the exit code.
+func report(err error) int {
+	fmt.Fprintln(os.Stderr, "swiftbeam:", err)
+	var invalid invalidInput
+	if errors.As(err, &invalid) {
+		return exitInvalid
+	}
+	return exitFailed
+}
+
+func newLogger(w io.Writer) logr.Logger {
+	return logr.FromSlogHandler(slog.NewJSONHandler(w, nil))
+}
+
+func daemonCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "daemon",
+		Short: "Run one daemon until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := loadSettings(path)
+			if err != nil {
+				return err
+			}
+			return runDaemon(c.Context(), s)
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file")
+	_ = c.MarkFlagRequired("settings")
+	return c
+}
+
+func loadSettings(path string) (*setup.Settings, error) {
+	s, problems, err := setup.Load(path)
+	if err != nil {
+		return nil, invalidInput{errors.Wrap(err, "read settings")}
+	}
+	for _, p := range problems {
+		fmt.Fprintf(os.Stderr, "%s:%s\n", path, p)
+	}
+	if len(problems) > 0 {
+		return nil, invalidInput{errors.Newf("%s has %d mistakes", path, len(problems))}
+	}
+	return s, nil
+}
+
+// runDaemon serves until the first SIGTERM or interrupt, then stops as planned. A second signal
+// ends the process at once.
+func runDaemon(ctx context.Context, s *setup.Settings) error {
+	d, err := daemon.New(s, daemon.Options{Log: newLogger(os.Stderr)})
+	if err != nil {
+		return err
+	}
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	go func() {
+		<-signals
+		os.Exit(exitFailed)
+	}()
+	stop, cancel := context.WithTimeout(ctx, s.StopTimeout.Std())
+	defer cancel()
+	return d.Stop(stop)
+}
+
+func settingsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "settings", Short: "Work with settings files"}
+	c.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file as a whole",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if _, err := loadSettings(args[0]); err != nil {
+				return err
+			}
+			fmt.Println(args[0] + ": correct")
+			return nil
+		},
+	})
+	return c
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,323 @@
+// Package daemon composes the services of one swiftbeam process and its listeners.
+//
+//	d, err := daemon.New(settings, daemon.Options{})
+//	err = d.Start(ctx)
+//	<-ctx.Done()
+//	err = d.Stop(ctx)
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
+
+	"swiftbeam/internal/cloud"
+	"swiftbeam/internal/engine"
+	"swiftbeam/internal/entry"
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/lease"
+	"swiftbeam/internal/manage"
+	"swiftbeam/internal/member"
+	"swiftbeam/internal/once"
+	"swiftbeam/internal/peers"
+	"swiftbeam/internal/pilot"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/relay"
+	"swiftbeam/internal/roster"
+	"swiftbeam/internal/setup"
+	"swiftbeam/internal/store"
+	"swiftbeam/pkg/clock"
+)
+
+// Times of the replication group.
+const (
+	ElectionTimeout = clock.Second
+	Heartbeat       = 150 * clock.Millisecond
+	ReplaceAfter    = clock.Minute
+	ForgetAfter     = 2 * clock.Minute
+	batchBytes      = 4 << 20
+)
+
+// Options replace parts of a daemon; the zero value is for production.
+type Options struct {
+	Log   logr.Logger
+	Clock clock.Clock
+	// Dial replaces the dialer between daemons.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen replaces net.Listen.
+	Listen func(network, address string) (net.Listener, error)
+	// ReplaceAfter replaces the silence after which a voter is replaced.
+	ReplaceAfter clock.Duration
+}
+
+// Daemon is one process.
+type Daemon struct {
+	Settings *setup.Settings
+	Kernel   *kernel.Kernel
+	Store    *store.Store
+	Roster   *roster.Roster
+	Relay    *relay.Relay
+	Once     *once.Caller
+	Pilot    *pilot.Pilot
+	Entry    *entry.Entry
+	Manage   *manage.Manage
+	Net      *peers.Net
+	Metrics  metrics.Registry
+
+	options  Options
+	tls      *tls.Config
+	caughtUp atomic.Bool
+	draining atomic.Bool
+	servers  []*http.Server
+}
+
+// New composes a daemon. The data folder is opened and checked.
+func New(s *setup.Settings, o Options) (*Daemon, error) {
+	if o.Clock == nil {
+		o.Clock = clock.Start()
+	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	if o.Log.GetSink() == nil {
+		o.Log = logr.Discard()
+	}
+	if o.ReplaceAfter == 0 {
+		o.ReplaceAfter = ReplaceAfter
+	}
+	d := &Daemon{Settings: s, Kernel: &kernel.Kernel{}, Metrics: metrics.NewRegistry(), options: o}
+	if err := d.loadTLS(); err != nil {
+		return nil, err
+	}
+	if err := d.buildState(); err != nil {
+		return nil, err
+	}
+	d.buildPaths()
+	d.register()
+	d.measure()
+	return d, nil
+}
+
+func (d *Daemon) loadTLS() error {
+	files := d.Settings.TLS
+	if files == nil {
+		return nil
+	}
+	config, err := serverTLS(files)
+	if err != nil {
+		return err
+	}
+	d.tls = config
+	return nil
+}
+
+// buildState creates the services that hold shared state.
+func (d *Daemon) buildState() error {
+	s := d.Settings
+	d.Net = peers.New(peers.Options{Token: s.PeerToken, Dial: d.options.Dial, TLS: d.clientTLS()})
+	d.Store = &store.Store{
+		Settings: quorum.Settings{
+			ElectionTimeout: ElectionTimeout, Heartbeat: Heartbeat, ReplaceAfter: d.options.ReplaceAfter,
+			ForgetAfter: ForgetAfter, Voters: s.Voters, BatchBytes: batchBytes, Seed: seed(),
+		},
+		Self:    quorum.Member{Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region},
+		Folder:  s.DataFolder,
+		Clock:   d.options.Clock,
+		Network: d.Net,
+		Log:     d.options.Log.WithName("store"),
+	}
+	if err := d.Store.Open(randomName()); err != nil {
+		return err
+	}
+	d.Net.Identify(d.Store.Self)
+	return nil
+}
+
+func seed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	v := uint64(0)
+	for _, x := range b {
+		v = v<<8 | uint64(x)
+	}
+	return v
+}
+
+func randomName() string {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// buildPaths creates the services that carry requests.
+func (d *Daemon) buildPaths() {
+	s, c, log := d.Settings, d.options.Clock, d.options.Log
+	self := member.Daemon{
+		ID: string(d.Store.Self.ID), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
+	}
+	d.Roster = &roster.Roster{Self: self, Clock: c, Net: d.Net, Directory: d, Log: log.WithName("roster"), Lease: s.Lease}
+	d.Pilot = &pilot.Pilot{
+		Self: self.ID, Clock: c, Store: d.Store, Net: d.Net, Roster: d.Roster, Log: log.WithName("pilot"),
+		Leased: func() bool { return d.Standing().MovesVersions() },
+	}
+	d.Relay = &relay.Relay{
+		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: backendClient()},
+		Versions: d.Pilot, Log: log.WithName("relay"), Route: d.route,
+	}
+	d.Roster.Leaver = d.Relay
+	d.Once = &once.Caller{
+		Self: self.ID, Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: backendClient(), Observe: d.Pilot.Observe,
+	}
+	d.Manage = &manage.Manage{
+		Clock: c, Settings: s, Kernel: d.Kernel, Store: d.Store, Roster: d.Roster, Metrics: d.Metrics, Self: self,
+	}
+	d.Entry = &entry.Entry{
+		Self: self.ID, Clock: c, Settings: s, Store: d.Store, Roster: d.Roster, Relay: d.Relay, Once: d.Once,
+		Versions: d.Pilot, Standing: d.Standing, Announce: d.Manage.Announcements(),
+	}
+	d.Roster.Loads = d.Entry.Loads
+}
+
+// backendClient returns an HTTP client for backend servers. It follows no redirects and has no
+// time limit of its own; contexts bound each call.
+func backendClient() *http.Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// dialTimeout bounds the opening of a connection to a backend server.
+const dialTimeout = 2 * clock.Second
+
+func (d *Daemon) register() {
+	d.Kernel.Add("net", d.Net)
+	d.Kernel.Add("store", d.Store)
+	d.Kernel.Add("roster", d.Roster)
+	d.Kernel.Add("pilot", d.Pilot)
+	d.Kernel.Add("once", d.Once)
+	d.Kernel.Add("relay", d.Relay)
+	d.Kernel.Add("entry", d.Entry)
+	if address := d.Settings.CloudAddress; address != "" {
+		client := &cloud.Client{Address: address, HTTP: backendClient()}
+		d.Kernel.Add("cloud", &cloud.Watch{Client: client, Clock: d.options.Clock, Roster: d.Roster})
+	}
+	d.Kernel.Add("daemon", &joiner{Daemon: d})
+}
+
+// Standing tells what this daemon may do now.
+func (d *Daemon) Standing() lease.Standing {
+	status := d.Store.Status()
+	return lease.Decide(d.options.Clock.Now(), lease.Inputs{
+		CaughtUp: d.caughtUp.Load(), Draining: d.draining.Load(),
+		ContactAt: status.ContactAt, Lease: d.Settings.Lease,
+		Daemons: len(status.Members), Live: len(d.Roster.Live()) + 1,
+	})
+}
+
+// Start begins to serve. It returns once the listeners are open; the daemon accepts requests
+// when its readiness check says so.
+func (d *Daemon) Start(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	if err := d.Kernel.Start(ctx); err != nil {
+		return err
+	}
+	handlers := []http.Handler{d.Entry.Handler(), d.peerHandler(), d.Manage.Handler()}
+	for i, l := range listeners {
+		d.serve(l, handlers[i])
+	}
+	d.options.Log.Info("started", "name", d.Settings.Name, "id", string(d.Store.Self.ID))
+	return nil
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	server := &peers.Server{
+		Token: d.Settings.PeerToken, Store: d.Store, Net: d.Net, Gossiper: d.Roster, Holder: d.Relay, Collector: d.Pilot,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(server.Handler())
+	return mux
+}
+
+func (d *Daemon) listen() ([]net.Listener, error) {
+	l := d.Settings.Listen
+	var listeners []net.Listener
+	for _, address := range []string{l.Callers, l.Peers, l.Admin} {
+		one, err := d.options.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrapf(err, "listen on %s", address)
+		}
+		if d.tls != nil {
+			one = tls.NewListener(one, d.tls)
+		}
+		listeners = append(listeners, one)
+	}
+	return listeners, nil
+}
+
+func (d *Daemon) serve(l net.Listener, h http.Handler) {
+	limits := d.Settings.Limits
+	server := &http.Server{
+		Handler: h, MaxHeaderBytes: limits.HeaderBytes,
+		ReadHeaderTimeout: limits.ReadTimeout.Std(), ReadTimeout: limits.ReadTimeout.Std(),
+		IdleTimeout: time.Minute,
+	}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(l) }()
+}
+
+// Stop ends the daemon without cutting off a request: readiness fails first, then, after the
+// balancer's lag, the requests finish.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.draining.Store(true)
+	d.Roster.Drain()
+	d.options.Log.Info("draining")
+	kernel.Pause(ctx, d.Settings.BalancerLag)
+	err := d.finishRequests(ctx)
+	stopErr := d.Kernel.Stop(ctx)
+	d.closeServers()
+	if err == nil {
+		err = stopErr
+	}
+	return err
+}
+
+// finishRequests waits for the callers' connections to end.
+func (d *Daemon) finishRequests(ctx context.Context) error {
+	if len(d.servers) == 0 {
+		return nil
+	}
+	return d.servers[0].Shutdown(ctx)
+}
+
+// Kill ends the daemon at once, as a crash would.
+func (d *Daemon) Kill() {
+	d.closeServers()
+	d.Kernel.Kill()
+}
+
+func (d *Daemon) closeServers() {
+	for _, s := range d.servers {
+		_ = s.Close()
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,294 @@
+// Package demo runs the main job end to end in one process: three daemons, small stand-ins for
+// all that surrounds them, reclaims, a daemon that dies, a good and a bad version. It counts
+// outcomes from what the callers and the stand-ins saw.
+//
+//	report, err := demo.Run(ctx, demo.Options{Seed: 1})
+//	if !report.Held() {
+//		// the run broke a promise
+//	}
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/fakes"
+	"swiftbeam/internal/local"
+	"swiftbeam/pkg/admin"
+)
+
+// Options of a run.
+type Options struct {
+	Seed uint64
+	// Out receives the story of the run; nil discards it.
+	Out io.Writer
+	Log logr.Logger
+}
+
+// Timeout bounds a run.
+const Timeout = 55 * time.Second
+
+// Times of a run.
+const (
+	moveTime      = 9 * time.Second
+	reclaimNotice = 700 * time.Millisecond
+	zoneNotice    = 1500 * time.Millisecond
+)
+
+// run is the state of one demo.
+type run struct {
+	Options
+	random     *rand.Rand
+	deployment *local.Deployment
+	engines    []*fakes.Engine
+	ledgers    []*fakes.Ledger
+	book       *fakes.Book
+	load       *load
+	report     Report
+	started    time.Time
+}
+
+// Run carries out a demo and reports what its callers saw.
+func Run(ctx context.Context, o Options) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, Timeout)
+	defer cancel()
+	if o.Out == nil {
+		o.Out = io.Discard
+	}
+	folder, err := os.MkdirTemp("", "swiftbeam-demo-")
+	if err != nil {
+		return Report{}, errors.Wrap(err, "create demo folder")
+	}
+	defer os.RemoveAll(folder)
+	r := &run{
+		Options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), book: &fakes.Book{}, started: time.Now(),
+	}
+	if err := r.start(ctx, folder); err != nil {
+		return r.report, err
+	}
+	defer r.deployment.Close()
+	err = r.story(ctx)
+	r.finish()
+	return r.report, err
+}
+
+func (r *run) start(ctx context.Context, folder string) error {
+	var err error
+	r.deployment, err = local.Start(ctx, local.Options{Daemons: 3, Folder: folder, Log: r.Log})
+	if err != nil {
+		return err
+	}
+	r.tell("three daemons accept requests")
+	for _, s := range []struct{ name, text string }{
+		{"accounts", local.AccountsSection},
+		{"commission-ledger", local.LedgerSection},
+		{"luthier-model", local.ModelSection("v1", "")},
+	} {
+		if err := r.deployment.Put(ctx, s.name, s.text); err != nil {
+			return err
+		}
+	}
+	r.tell("the operators' document has three sections")
+	if err := r.startServers(); err != nil {
+		return err
+	}
+	return r.waitServers(ctx, "v1", 4)
+}
+
+func (r *run) startServers() error {
+	for i := range 4 {
+		if _, err := r.addEngine("v1", local.Zones[i], fakes.Fault{}); err != nil {
+			return err
+		}
+	}
+	for i := range 2 {
+		l, err := r.deployment.Ledger(r.book, local.Zones[i])
+		if err != nil {
+			return err
+		}
+		r.ledgers = append(r.ledgers, l)
+	}
+	return nil
+}
+
+func (r *run) addEngine(version, zone string, fault fakes.Fault) (*fakes.Engine, error) {
+	e, err := r.deployment.Engine(version, zone, func(e *fakes.Engine) { e.Fault = fault })
+	r.engines = append(r.engines, e)
+	return e, err
+}
+
+// waitServers waits until every daemon knows the servers of a version.
+func (r *run) waitServers(ctx context.Context, version string, count int) error {
+	return r.deployment.Until(ctx, "backend servers announced themselves", func() bool {
+		for i := range r.deployment.Options.Daemons {
+			one := r.deployment.Daemon(i)
+			if one != nil && (one.Roster.Ready("luthier-model", version) < count || one.Roster.Ready("commission-ledger", "v1") < 2) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// story runs the load and the faults.
+func (r *run) story(ctx context.Context) error {
+	r.load = startLoad(ctx, r.deployment, r.book, r.random.Uint64())
+	defer r.load.stop()
+	for _, chapter := range []func(context.Context) error{
+		r.reclaimOne, r.goodMove, r.loseDaemon, r.badMove, r.reclaimZone,
+	} {
+		if err := chapter(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reclaimOne takes back one engine in mid-stream by a notice of the cloud.
+func (r *run) reclaimOne(ctx context.Context) error {
+	r.pause(ctx, 400, 800)
+	r.reclaim(ctx, r.engines[0], reclaimNotice)
+	r.tell("reclaim: an engine was taken back in mid-stream")
+	return nil
+}
+
+func (r *run) reclaim(ctx context.Context, e *fakes.Engine, notice time.Duration) {
+	r.deployment.Cloud.Reclaim(e.Address, notice)
+	e.Reclaim(ctx, notice)
+	r.report.Reclaims++
+	select {
+	case <-time.After(notice):
+	case <-ctx.Done():
+	}
+	e.Kill()
+}
+
+func (r *run) goodMove(ctx context.Context) error {
+	for i := range 4 {
+		if _, err := r.addEngine("v2", local.Zones[i], fakes.Fault{}); err != nil {
+			return err
+		}
+	}
+	m, err := r.move(ctx, "v1", "v2")
+	if err != nil {
+		return err
+	}
+	if m.Stage == "finished" {
+		r.report.VersionMovesFinished++
+	}
+	r.tell("good version v2: " + m.Stage)
+	return nil
+}
+
+// badMove starts a version that fails, slows down or cuts answers short, by the seed.
+func (r *run) badMove(ctx context.Context) error {
+	faults := []fakes.Fault{{FailPercent: 60}, {Slow: 6}, {Short: 40}}
+	fault := faults[r.random.IntN(len(faults))]
+	for i := range 4 {
+		if _, err := r.addEngine("v3", local.Zones[i], fault); err != nil {
+			return err
+		}
+	}
+	m, err := r.move(ctx, "v2", "v3")
+	if err != nil {
+		return err
+	}
+	if m.Stage == "rolledBack" {
+		r.report.VersionMovesRolledBack++
+	}
+	r.tell("bad version v3: " + m.Stage + ": " + m.Evidence)
+	return nil
+}
+
+func (r *run) move(ctx context.Context, from, to string) (admin.Move, error) {
+	by := time.Now().Add(moveTime).UTC().Format(time.RFC3339)
+	move := fmt.Sprintf(`"move": {"to": %q, "finishBy": %q, "trialPercent": 20},`, to, by)
+	if err := r.deployment.Put(ctx, "luthier-model", local.ModelSection(from, move)); err != nil {
+		return admin.Move{}, err
+	}
+	var last admin.Move
+	err := r.deployment.Until(ctx, "move to "+to+" ends", func() bool {
+		list, err := r.deployment.Operator().Moves(ctx)
+		if err != nil || len(list.Moves) != 1 || list.Moves[0].To != to {
+			return false
+		}
+		last = list.Moves[0]
+		return last.Ended
+	})
+	return last, err
+}
+
+// loseDaemon crashes one daemon under load and starts it again.
+func (r *run) loseDaemon(ctx context.Context) error {
+	i := r.random.IntN(r.deployment.Options.Daemons)
+	r.deployment.Kill(i)
+	r.tell(fmt.Sprintf("daemon entry-%d crashed", i+1))
+	r.pause(ctx, 1500, 2500)
+	if err := r.deployment.Run(i); err != nil {
+		return err
+	}
+	if err := r.deployment.WaitReady(ctx); err != nil {
+		return err
+	}
+	r.tell(fmt.Sprintf("daemon entry-%d is back", i+1))
+	return nil
+}
+
+// reclaimZone takes back all engines of one availability zone at once.
+func (r *run) reclaimZone(ctx context.Context) error {
+	zone := local.Zones[r.random.IntN(len(local.Zones))]
+	done := make(chan struct{})
+	count := 0
+	for _, e := range r.engines {
+		if e.Zone != zone || e.Version != "v2" {
+			continue
+		}
+		count++
+		r.report.Reclaims++
+		go func() {
+			r.deployment.Cloud.Reclaim(e.Address, zoneNotice)
+			e.Reclaim(ctx, zoneNotice)
+			time.Sleep(zoneNotice)
+			e.Kill()
+			done <- struct{}{}
+		}()
+	}
+	for range count {
+		<-done
+	}
+	r.tell("reclaim: availability zone " + zone + " was taken back")
+	r.pause(ctx, 500, 1000)
+	return nil
+}
+
+// finish collects the counts of callers and stand-ins.
+func (r *run) finish() {
+	r.load.collect(&r.report)
+	for _, e := range r.engines {
+		r.report.TokensRecomputed += int(e.Recomputed.Load())
+		e.Kill()
+	}
+	for _, l := range r.ledgers {
+		l.Kill()
+	}
+	r.report.Seconds = time.Since(r.started).Seconds()
+}
+
+func (r *run) pause(ctx context.Context, low, high int) {
+	d := time.Duration(low+r.random.IntN(high-low)) * time.Millisecond
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (r *run) tell(text string) {
+	_, _ = fmt.Fprintf(r.Out, "%6.2fs  %s\n", time.Since(r.started).Seconds(), text)
+}
--- /dev/null
+++ b/internal/disk/disk.go
@@ -0,0 +1,345 @@
+// Package disk keeps the log, the hard state and the newest snapshot of a voter in one data
+// folder. A write counts once Sync returned without an error:
+//
+//	log, loaded, err := disk.Open(folder)
+//	log.Append(entries)
+//	err = log.Sync()
+//
+// Records carry checksums. An incomplete record at the end of the log is cut on Open; a damaged
+// record that valid records follow makes Open fail, because acknowledged entries are missing.
+// After a failed write or sync the log refuses all further work.
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/wire"
+)
+
+const (
+	logName      = "log"
+	snapshotName = "snapshot"
+	identityName = "identity"
+	headerBytes  = 9
+	// maxRecordBytes bounds a record, so that a damaged length is found out.
+	maxRecordBytes = 256 << 20
+)
+
+// Types of records.
+const (
+	recordHard byte = iota + 1
+	recordEntry
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Loaded is what a data folder held when it was opened.
+type Loaded struct {
+	Identity string
+	Hard     quorum.HardState
+	Snapshot quorum.Snapshot
+	Entries  []quorum.Entry
+	// CutBytes is the length of the incomplete tail that was removed.
+	CutBytes int64
+}
+
+// Log writes to a data folder. It is owned by one goroutine.
+type Log struct {
+	// SyncFile replaces the sync system call; nil means os.File.Sync.
+	SyncFile func(*os.File) error
+	// Bytes counts the bytes written.
+	Bytes int64
+
+	folder string
+	file   *os.File
+	buffer []byte
+	failed error
+}
+
+// Open reads the data folder, creating it when it is missing.
+func Open(folder string) (*Log, Loaded, error) {
+	var loaded Loaded
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, loaded, errors.Wrapf(err, "create data folder %s", folder)
+	}
+	l := &Log{folder: folder}
+	if err := l.load(&loaded); err != nil {
+		return nil, loaded, err
+	}
+	return l, loaded, nil
+}
+
+func (l *Log) load(loaded *Loaded) error {
+	if err := l.loadIdentity(loaded); err != nil {
+		return err
+	}
+	if err := l.loadSnapshot(loaded); err != nil {
+		return err
+	}
+	return l.loadLog(loaded)
+}
+
+func (l *Log) path(name string) string { return filepath.Join(l.folder, name) }
+
+// loadIdentity reads the identity of the folder or draws a new one for an empty folder.
+func (l *Log) loadIdentity(loaded *Loaded) error {
+	data, err := os.ReadFile(l.path(identityName))
+	if err == nil {
+		loaded.Identity = strings.TrimSpace(string(data))
+		return nil
+	}
+	if !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "read identity")
+	}
+	if _, err := os.Stat(l.path(logName)); err == nil {
+		return fault.New(fault.Damaged, "data folder %s has a log but no identity", l.folder).
+			Remedy("restore the identity file, or empty the folder to join as a new member")
+	}
+	var random [8]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return errors.Wrap(err, "draw identity")
+	}
+	loaded.Identity = hex.EncodeToString(random[:])
+	return l.writeFile(identityName, []byte(loaded.Identity+"\n"))
+}
+
+func (l *Log) loadSnapshot(loaded *Loaded) error {
+	data, err := os.ReadFile(l.path(snapshotName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read snapshot")
+	}
+	_, body, size := parseRecord(data)
+	if size != len(data) {
+		return damaged(l.path(snapshotName), 0)
+	}
+	loaded.Snapshot, err = wire.DecodeSnapshot(body)
+	if err != nil {
+		return damaged(l.path(snapshotName), 0)
+	}
+	return nil
+}
+
+func (l *Log) loadLog(loaded *Loaded) error {
+	data, err := os.ReadFile(l.path(logName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "read log")
+	}
+	valid, err := l.replay(data, loaded)
+	if err != nil {
+		return err
+	}
+	l.file, err = os.OpenFile(l.path(logName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open log")
+	}
+	loaded.CutBytes = int64(len(data) - valid)
+	if err := l.file.Truncate(int64(valid)); err != nil {
+		return errors.Wrap(err, "cut incomplete tail")
+	}
+	if _, err := l.file.Seek(int64(valid), 0); err != nil {
+		return errors.Wrap(err, "seek log")
+	}
+	if err := l.sync(l.file); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	return l.syncFolder()
+}
+
+// replay reads the records of the log and returns the length of the valid part.
+func (l *Log) replay(data []byte, loaded *Loaded) (int, error) {
+	at := 0
+	for at < len(data) {
+		kind, body, size := parseRecord(data[at:])
+		if size == 0 {
+			if validRecordAfter(data[at+1:]) {
+				return 0, damaged(l.path(logName), at)
+			}
+			return at, nil
+		}
+		if err := loaded.take(kind, body); err != nil {
+			return 0, damaged(l.path(logName), at)
+		}
+		at += size
+	}
+	return at, nil
+}
+
+func (d *Loaded) take(kind byte, body []byte) error {
+	if kind == recordHard {
+		hard, err := wire.DecodeHardState(body)
+		d.Hard = hard
+		return err
+	}
+	e, err := wire.DecodeEntry(body)
+	if err != nil || e.Index <= d.Snapshot.Index {
+		return err
+	}
+	for len(d.Entries) > 0 && d.Entries[len(d.Entries)-1].Index >= e.Index {
+		d.Entries = d.Entries[:len(d.Entries)-1]
+	}
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+// parseRecord returns the first record of data, or size 0 when it is incomplete or damaged.
+func parseRecord(data []byte) (kind byte, body []byte, size int) {
+	if len(data) < headerBytes {
+		return 0, nil, 0
+	}
+	length := int(binary.LittleEndian.Uint32(data))
+	if length > maxRecordBytes || len(data) < headerBytes+length {
+		return 0, nil, 0
+	}
+	size = headerBytes + length
+	if crc32.Checksum(data[8:size], castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
+		return 0, nil, 0
+	}
+	return data[8], data[headerBytes:size], size
+}
+
+func validRecordAfter(data []byte) bool {
+	for at := range data {
+		kind, _, size := parseRecord(data[at:])
+		if size > 0 && (kind == recordHard || kind == recordEntry) {
+			return true
+		}
+	}
+	return false
+}
+
+func damaged(path string, at int) error {
+	return fault.New(fault.Damaged, "%s is damaged at byte %d, before its end", path, at).
+		Remedy("keep a copy, then empty the data folder; the daemon joins as a new member and the quorum replaces the old one")
+}
+
+// AppendHard adds the hard state to the next Sync.
+func (l *Log) AppendHard(hard quorum.HardState) {
+	l.buffer = appendRecord(l.buffer, recordHard, wire.EncodeHardState(hard))
+}
+
+// Append adds entries to the next Sync. They replace the log from the first of them on.
+func (l *Log) Append(entries []quorum.Entry) {
+	for _, e := range entries {
+		l.buffer = appendRecord(l.buffer, recordEntry, wire.EncodeEntry(e))
+	}
+}
+
+func appendRecord(b []byte, kind byte, body []byte) []byte {
+	start := len(b)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
+	b = append(b, 0, 0, 0, 0, kind)
+	b = append(b, body...)
+	binary.LittleEndian.PutUint32(b[start+4:], crc32.Checksum(b[start+8:], castagnoli))
+	return b
+}
+
+// Sync writes what was appended and returns once it is on disk. After an error the log is
+// unusable and every later call returns the same error.
+func (l *Log) Sync() error {
+	if l.failed != nil || len(l.buffer) == 0 {
+		return l.failed
+	}
+	n, err := l.file.Write(l.buffer)
+	l.Bytes += int64(n)
+	l.buffer = l.buffer[:0]
+	if err == nil {
+		err = l.sync(l.file)
+	}
+	return l.fail(err)
+}
+
+// SaveSnapshot stores a snapshot and shortens the log to the entries that follow it.
+func (l *Log) SaveSnapshot(snap quorum.Snapshot, hard quorum.HardState, rest []quorum.Entry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	record := appendRecord(nil, recordEntry, wire.EncodeSnapshot(snap))
+	if err := l.writeFile(snapshotName, record); err != nil {
+		return l.fail(err)
+	}
+	l.buffer = l.buffer[:0]
+	body := appendRecord(nil, recordHard, wire.EncodeHardState(hard))
+	for _, e := range rest {
+		body = appendRecord(body, recordEntry, wire.EncodeEntry(e))
+	}
+	if err := l.writeFile(logName, body); err != nil {
+		return l.fail(err)
+	}
+	return l.fail(l.reopen())
+}
+
+func (l *Log) reopen() error {
+	if err := l.file.Close(); err != nil {
+		return err
+	}
+	var err error
+	l.file, err = os.OpenFile(l.path(logName), os.O_RDWR|os.O_APPEND, 0o600)
+	return err
+}
+
+// Close ends the use of the folder without a sync.
+func (l *Log) Close() error { return l.file.Close() }
+
+func (l *Log) fail(err error) error {
+	if err != nil && l.failed == nil {
+		l.failed = fault.New(fault.Damaged, "data folder %s: %v", l.folder, err).
+			Remedy("free or replace the disk and restart the daemon; until then it has no vote")
+	}
+	return l.failed
+}
+
+// writeFile replaces a file of the folder so that a crash leaves the old or the new content.
+func (l *Log) writeFile(name string, data []byte) error {
+	temp := l.path(name + ".tmp")
+	f, err := os.OpenFile(temp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	n, err := f.Write(data)
+	l.Bytes += int64(n)
+	if err == nil {
+		err = l.sync(f)
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return errors.Wrapf(err, "write %s", temp)
+	}
+	if err := os.Rename(temp, l.path(name)); err != nil {
+		return errors.Wrap(err, "rename")
+	}
+	return l.syncFolder()
+}
+
+func (l *Log) syncFolder() error {
+	f, err := os.Open(l.folder)
+	if err != nil {
+		return errors.Wrap(err, "open data folder")
+	}
+	err = l.sync(f)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return errors.Wrap(err, "sync data folder")
+}
+
+func (l *Log) sync(f *os.File) error {
+	if l.SyncFile != nil {
+		return l.SyncFile(f)
+	}
+	return f.Sync()
+}
--- /dev/null
+++ b/internal/entry/complete.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"swiftbeam/internal/engine"
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/stream"
+	"swiftbeam/pkg/clock"
+	"swiftbeam/pkg/fleet"
+)
+
+// attendPause is the pause between two signs of life of a caller's connection.
+const attendPause = 5 * clock.Second
+
+func (e *Entry) chat(w http.ResponseWriter, q *asked)       { e.complete(w, q, true) }
+func (e *Entry) completion(w http.ResponseWriter, q *asked) { e.complete(w, q, false) }
+
+// completionFields are the fields of a completion request that swiftbeam reads itself. All
+// others go to the engine as they are.
+type completionFields struct {
+	Model    string           `json:"model"`
+	Messages []engine.Message `json:"messages"`
+	Prompt   json.RawMessage  `json:"prompt"`
+	Stream   bool             `json:"stream"`
+	N        *int             `json:"n"`
+}
+
+func (e *Entry) complete(w http.ResponseWriter, q *asked, chat bool) {
+	body, err := e.readBody(w, q)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	fields, param, err := parseCompletion(body, chat)
+	if err != nil {
+		e.Stats.Refused.Add(1)
+		e.fail(w, err, ErrorDetail{NotRun: true, Param: param})
+		return
+	}
+	service, r, err := e.engineRoute(fields.Model)
+	if err != nil {
+		e.Stats.Refused.Add(1)
+		e.fail(w, err, ErrorDetail{NotRun: true, Param: "model"})
+		return
+	}
+	record, err := e.accept(q, stream.Request{
+		ID: newID(), Account: q.account.Name, Service: service.Name, Route: r.Name, Body: body, Chat: chat,
+	}, r)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	e.Stats.Accepted.Add(1)
+	if fields.Stream {
+		e.writeStream(w, q, record, 0)
+		return
+	}
+	e.writeWhole(w, q, record)
+}
+
+func parseCompletion(body []byte, chat bool) (completionFields, string, error) {
+	var f completionFields
+	if err := json.Unmarshal(body, &f); err != nil {
+		param := ""
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			param = wrong.Field
+		}
+		return f, param, fault.New(fault.Invalid, "the body is not a completion request: %v", err).Remedy("send valid JSON")
+	}
+	switch {
+	case f.Model == "":
+		return f, "model", missing("model", "the name of a service")
+	case chat && len(f.Messages) == 0:
+		return f, "messages", missing("messages", "at least one message")
+	case !chat && len(f.Prompt) == 0:
+		return f, "prompt", missing("prompt", "the text to complete")
+	case f.N != nil && *f.N != 1:
+		return f, "n", fault.New(fault.Invalid, "n is %d", *f.N).Remedy("ask for one choice in a request")
+	}
+	return f, "", nil
+}
+
+func missing(field, want string) error {
+	return fault.New(fault.Invalid, "field %q is missing", field).Remedy("send %s", want)
+}
+
+// engineRoute finds the service and route of a model name such as "luthier-model" or
+// "luthier-model:dossier".
+func (e *Entry) engineRoute(model string) (fleet.Service, fleet.Route, error) {
+	name, route, named := strings.Cut(model, ":")
+	s, ok := e.document().Services[name]
+	if !ok || s.Kind != fleet.Engine {
+		return s, fleet.Route{}, fault.New(fault.Missing, "no model %q", name).Remedy("list the models with GET /v1/models")
+	}
+	if !named {
+		return s, s.Routes[0], nil
+	}
+	at := slices.IndexFunc(s.Routes, func(r fleet.Route) bool { return r.Name == route })
+	if at < 0 {
+		return s, fleet.Route{}, fault.New(fault.Missing, "model %q has no route %q", name, route).Remedy("list the models with GET /v1/models")
+	}
+	return s, s.Routes[at], nil
+}
+
+// accept admits a request and hands it to the relay. After an error it was not run.
+func (e *Entry) accept(q *asked, r stream.Request, route fleet.Route) (*stream.Record, error) {
+	if err := e.accepting(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := waitContext(q.Context(), route)
+	defer cancel()
+	if err := e.door.enter(ctx, r.Service, q.account, route); err != nil {
+		return nil, err
+	}
+	done := e.releaseAfter(r.Service, q.account.Name)
+	if err := e.accepting(); err != nil {
+		done()
+		return nil, err
+	}
+	record, err := e.Relay.Accept(q.Context(), r, done)
+	if err != nil {
+		done()
+		return nil, err
+	}
+	return record, nil
+}
+
+// writeStream sends the tokens of a record as server-sent events whose IDs count the tokens.
+func (e *Entry) writeStream(w http.ResponseWriter, q *asked, record *stream.Record, first int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-cache")
+	w.Header().Set(RequestIDHeader, record.ID)
+	w.WriteHeader(http.StatusOK)
+	out := http.NewResponseController(w)
+	_ = out.Flush()
+	for {
+		tokens, end, err := e.next(q.Context(), record, first)
+		if err != nil {
+			return
+		}
+		for _, token := range tokens {
+			first++
+			writeEvent(w, first, chunk(e.Clock.Now(), record, token))
+		}
+		if end.Done {
+			e.writeEnd(w, record, first, end)
+			_ = out.Flush()
+			return
+		}
+		_ = out.SetWriteDeadline(time.Now().Add(writeTimeout.Std()))
+		if out.Flush() != nil {
+			return
+		}
+	}
+}
+
+// writeTimeout bounds one write to a caller that reads slowly.
+const writeTimeout = 30 * clock.Second
+
+// next waits for tokens and keeps telling the relay that the caller is there.
+func (e *Entry) next(ctx context.Context, record *stream.Record, first int) ([]string, stream.End, error) {
+	for {
+		e.Relay.Attend(record.ID)
+		wait, cancel := context.WithTimeout(ctx, attendPause.Std())
+		tokens, end, err := record.Next(wait, first)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return tokens, end, err
+		}
+	}
+}
+
+func writeEvent(w io.Writer, id int, c engine.Chunk) {
+	data, _ := json.Marshal(c)
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
+}
+
+func (e *Entry) writeEnd(w io.Writer, record *stream.Record, last int, end stream.End) {
+	if end.Failure != "" {
+		data, _ := json.Marshal(ErrorAnswer{Error: ErrorDetail{
+			Message: end.Failure, Type: "server_error", RequestID: record.ID,
+		}})
+		_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", data)
+		return
+	}
+	c := chunk(e.Clock.Now(), record, "")
+	c.Choices[0].FinishReason = &end.Finish
+	writeEvent(w, last, c)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func chunk(now clock.Instant, record *stream.Record, token string) engine.Chunk {
+	c := engine.Chunk{ID: record.ID, Created: int64(now) / int64(clock.Second), Model: record.Service}
+	if record.Chat {
+		c.Object = "chat.completion.chunk"
+		c.Choices = []engine.Choice{{Delta: &engine.Message{Content: token}}}
+		return c
+	}
+	c.Object = "text_completion"
+	c.Choices = []engine.Choice{{Text: &token}}
+	return c
+}
+
+// WholeAnswer is the answer to a completion request without streaming.
+type WholeAnswer struct {
+	engine.Chunk
+	Usage Usage `json:"usage"`
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+func (e *Entry) writeWhole(w http.ResponseWriter, q *asked, record *stream.Record) {
+	w.Header().Set(RequestIDHeader, record.ID)
+	var text strings.Builder
+	count := 0
+	for {
+		tokens, end, err := e.next(q.Context(), record, count)
+		if err != nil {
+			return
+		}
+		count += len(tokens)
+		for _, token := range tokens {
+			text.WriteString(token)
+		}
+		if !end.Done {
+			continue
+		}
+		if end.Failure != "" {
+			e.fail(w, fault.New(fault.Unknown, "%s", end.Failure), ErrorDetail{RequestID: record.ID})
+			return
+		}
+		writeJSON(w, http.StatusOK, whole(e.Clock.Now(), record, text.String(), count, end.Finish))
+		return
+	}
+}
+
+func whole(now clock.Instant, record *stream.Record, text string, count int, finish string) WholeAnswer {
+	c := chunk(now, record, text)
+	c.Choices[0].FinishReason = &finish
+	if record.Chat {
+		c.Object = "chat.completion"
+		c.Choices[0].Delta = nil
+		c.Choices[0].Message = &engine.Message{Role: "assistant", Content: text}
+	}
+	return WholeAnswer{Chunk: c, Usage: Usage{CompletionTokens: count}}
+}
+
+// request resumes a stream after Last-Event-ID, or tells the outcome of a call.
+func (e *Entry) request(w http.ResponseWriter, q *asked) {
+	id := mux.Vars(q.Request)["id"]
+	record, err := e.Relay.Find(q.Context(), id, q.account.Name)
+	if err != nil {
+		e.outcome(w, q, id)
+		return
+	}
+	first := 0
+	if text := q.Header.Get(LastEventIDHeader); text != "" {
+		first, err = strconv.Atoi(text)
+		if err != nil || first < 0 {
+			e.fail(w, fault.New(fault.Invalid, "%s is %q", LastEventIDHeader, text).Remedy("send the ID of the last event"), ErrorDetail{})
+			return
+		}
+	}
+	e.Stats.Resumed.Add(1)
+	if strings.Contains(q.Header.Get("Accept"), "text/event-stream") || q.Header.Get(LastEventIDHeader) != "" {
+		e.writeStream(w, q, record, first)
+		return
+	}
+	e.writeWhole(w, q, record)
+}
+
+// ModelList is the answer to GET /v1/models.
+type ModelList struct {
+	Object string  `json:"object"`
+	Data   []Model `json:"data"`
+}
+
+// Model names one service, or one of its routes, that completes prompts.
+type Model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) models(w http.ResponseWriter, _ *asked) {
+	list := ModelList{Object: "list", Data: []Model{}}
+	for name, s := range e.document().Services {
+		if s.Kind != fleet.Engine {
+			continue
+		}
+		list.Data = append(list.Data, Model{ID: name, Object: "model", OwnedBy: "swiftbeam"})
+		for _, r := range s.Routes {
+			list.Data = append(list.Data, Model{ID: name + ":" + r.Name, Object: "model", OwnedBy: "swiftbeam"})
+		}
+	}
+	slices.SortFunc(list.Data, func(a, b Model) int { return strings.Compare(a.ID, b.ID) })
+	writeJSON(w, http.StatusOK, list)
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,289 @@
+// Package entry serves callers over HTTP: OpenAI-style completions, plain services by route, and
+// the outcome of earlier requests.
+//
+//	e := &entry.Entry{Relay: relay, Once: once, ...}
+//	http.Serve(listener, e.Handler())
+//
+// A request is accepted when the caller sees the header X-Request-Id with a status below 300.
+// Every refusal before that says notRun: true and is true. After the first byte went to a
+// backend server the answer never says "not run".
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/lease"
+	"swiftbeam/internal/once"
+	"swiftbeam/internal/relay"
+	"swiftbeam/internal/roster"
+	"swiftbeam/internal/setup"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/store"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/admin"
+	"swiftbeam/pkg/clock"
+	"swiftbeam/pkg/conf"
+	"swiftbeam/pkg/fleet"
+)
+
+// Header names of the caller interface.
+const (
+	RequestIDHeader      = "X-Request-Id"
+	IdempotencyKeyHeader = "Idempotency-Key"
+	ReplayedHeader       = "Idempotent-Replayed"
+	LastEventIDHeader    = "Last-Event-ID"
+)
+
+// Entry is the service. Set all exported fields.
+type Entry struct {
+	Self     string
+	Clock    clock.Clock
+	Settings *setup.Settings
+	Store    *store.Store
+	Roster   *roster.Roster
+	Relay    *relay.Relay
+	Once     *once.Caller
+	Versions relay.Versions
+	Standing func() lease.Standing
+	Stats    Stats
+	// Announce takes announcements of backend servers; nil means none.
+	Announce http.Handler
+
+	door door
+}
+
+// Stats count the requests of callers.
+type Stats struct {
+	Accepted atomic.Int64
+	Refused  atomic.Int64
+	Resumed  atomic.Int64
+}
+
+// Start begins to start waiting requests as capacity grows.
+func (e *Entry) Start(ctx context.Context, g *kernel.Group) error {
+	g.Go(func() {
+		timer := time.NewTicker(doorPause.Std())
+		defer timer.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+				e.door.tick()
+			}
+		}
+	})
+	return nil
+}
+
+// doorPause is the pause between two looks at the waiting requests.
+const doorPause = 50 * clock.Millisecond
+
+// Loads returns the running requests of each client account and service.
+func (e *Entry) Loads() []*peerpb.AccountLoad { return e.door.loads() }
+
+// Handler returns the HTTP handler for callers.
+func (e *Entry) Handler() http.Handler {
+	e.door.entry = e
+	r := mux.NewRouter()
+	if e.Announce != nil {
+		r.Handle(admin.AnnouncePath, e.Announce).Methods(http.MethodPost)
+	}
+	r.HandleFunc("/healthz", e.health).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", e.ready).Methods(http.MethodGet)
+	r.HandleFunc("/v1/models", e.caller(e.models)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/chat/completions", e.caller(e.chat)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", e.caller(e.completion)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{id}", e.caller(e.request)).Methods(http.MethodGet)
+	r.PathPrefix("/").HandlerFunc(e.caller(e.plain))
+	return r
+}
+
+func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, HealthAnswer{Status: "ok"})
+}
+
+// HealthAnswer is the answer of the health and readiness checks.
+type HealthAnswer struct {
+	Status string `json:"status"`
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	standing := e.Standing()
+	status := http.StatusOK
+	if !standing.Accepts() {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, HealthAnswer{Status: strings.ToLower(standing.String())})
+}
+
+// asked is a caller's request after authentication.
+type asked struct {
+	*http.Request
+	account fleet.ClientAccount
+}
+
+// caller authenticates a request and refuses it where this daemon does not accept.
+func (e *Entry) caller(next func(http.ResponseWriter, *asked)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		account, err := e.authenticate(r)
+		if err != nil {
+			e.refuse(w, err)
+			return
+		}
+		next(w, &asked{Request: r, account: account})
+	}
+}
+
+func (e *Entry) authenticate(r *http.Request) (fleet.ClientAccount, error) {
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	digest := sha256.Sum256([]byte(key))
+	name := hex.EncodeToString(digest[:])
+	document := e.document()
+	for _, a := range document.Accounts {
+		if key != "" && a.KeySHA256 == name {
+			return a, nil
+		}
+	}
+	if e.Settings.Open {
+		return fleet.ClientAccount{Name: "anyone", Share: 1}, nil
+	}
+	return fleet.ClientAccount{}, fault.New(fault.Denied, "unknown client account").
+		Remedy("send the account's key as a bearer token")
+}
+
+func (e *Entry) document() conf.Document {
+	var d conf.Document
+	e.Store.View(func(s *state.State) { d = s.Document })
+	return d
+}
+
+// accepting returns an error when this daemon accepts no requests now.
+func (e *Entry) accepting() error {
+	standing := e.Standing()
+	if standing.Accepts() {
+		return nil
+	}
+	return fault.New(fault.Unavailable, "this daemon accepts no requests: %v", standing).
+		Remedy("send the request again; the balancer chooses another daemon").After(1)
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, q *asked) ([]byte, error) {
+	body := http.MaxBytesReader(w, q.Body, e.Settings.Limits.BodyBytes)
+	defer body.Close()
+	data, err := io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.Invalid, "the body is longer than %d bytes", tooLarge.Limit).
+			Remedy("send a shorter request")
+	case err != nil:
+		return nil, fault.New(fault.Invalid, "the body did not arrive: %v", err).Remedy("send it again")
+	}
+	return data, nil
+}
+
+// newID returns a request ID.
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return "req_" + hex.EncodeToString(b[:])
+}
+
+// ErrorAnswer is the body of every refusal and error.
+type ErrorAnswer struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes an error to a caller.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Param   string `json:"param,omitempty"`
+	// NotRun is true when the request had no effect, and absent when it may have had one.
+	NotRun    bool   `json:"notRun,omitempty"`
+	RequestID string `json:"requestId,omitempty"`
+}
+
+var kindStatus = map[fault.Kind]int{
+	fault.Invalid:     http.StatusBadRequest,
+	fault.Denied:      http.StatusUnauthorized,
+	fault.Missing:     http.StatusNotFound,
+	fault.Conflict:    http.StatusConflict,
+	fault.Exhausted:   http.StatusTooManyRequests,
+	fault.Unavailable: http.StatusServiceUnavailable,
+	fault.Unknown:     http.StatusBadGateway,
+}
+
+// refuse answers a request that was not run.
+func (e *Entry) refuse(w http.ResponseWriter, err error) {
+	e.Stats.Refused.Add(1)
+	e.fail(w, err, ErrorDetail{NotRun: true})
+}
+
+// fail answers with an error.
+func (e *Entry) fail(w http.ResponseWriter, err error, d ErrorDetail) {
+	kind := fault.KindOf(err)
+	status, ok := kindStatus[kind]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	var f *fault.Error
+	if errors.As(err, &f) && f.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(f.RetryAfter))
+	}
+	d.Message = err.Error()
+	d.Type = errorType(kind)
+	writeJSON(w, status, ErrorAnswer{Error: d})
+}
+
+func errorType(k fault.Kind) string {
+	switch k {
+	case fault.Invalid:
+		return "invalid_request_error"
+	case fault.Denied:
+		return "authentication_error"
+	case fault.Exhausted:
+		return "rate_limit_error"
+	case fault.Missing:
+		return "not_found_error"
+	}
+	return "server_error"
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// releaseAfter returns a function that ends the admission of a request once.
+func (e *Entry) releaseAfter(service, account string) func() {
+	started := e.Clock.Now()
+	return func() { e.door.leave(service, account, e.Clock.Now().Sub(started)) }
+}
+
+// waitContext bounds the admission wait of a route.
+func waitContext(ctx context.Context, r fleet.Route) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, admissionWait(r).Std())
+}
+
+// admissionParts is the part of a route's timeout that a request may wait for admission.
+const admissionParts = 4
+
+func admissionWait(r fleet.Route) clock.Duration { return r.Timeout / admissionParts }
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/once"
+	"swiftbeam/internal/state"
+	"swiftbeam/pkg/fleet"
+)
+
+// plain forwards a call to a plain service.
+func (e *Entry) plain(w http.ResponseWriter, q *asked) {
+	service, route, ok := e.plainRoute(q.URL.Path)
+	if !ok {
+		e.refuse(w, fault.New(fault.Missing, "no route %q", q.URL.Path).Remedy("check the path"))
+		return
+	}
+	body, err := e.readBody(w, q)
+	if err == nil {
+		err = e.accepting()
+	}
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	ctx, cancel := waitContext(q.Context(), route)
+	defer cancel()
+	if err := e.door.enter(ctx, service.Name, q.account, route); err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer e.releaseAfter(service.Name, q.account.Name)()
+	e.call(w, q, service, route, body)
+}
+
+// plainRoute finds the route with the longest path that path begins with.
+func (e *Entry) plainRoute(path string) (fleet.Service, fleet.Route, bool) {
+	var service fleet.Service
+	var route fleet.Route
+	for _, s := range e.document().Services {
+		for _, r := range s.Routes {
+			within := path == r.Path || strings.HasPrefix(path, strings.TrimSuffix(r.Path, "/")+"/")
+			if r.Path != "" && within && len(r.Path) > len(route.Path) {
+				service, route = s, r
+			}
+		}
+	}
+	return service, route, route.Path != ""
+}
+
+func (e *Entry) call(w http.ResponseWriter, q *asked, service fleet.Service, route fleet.Route, body []byte) {
+	id := newID()
+	c := once.Call{
+		OnceKey: state.OnceKey{Account: q.account.Name, Route: route.Name, Key: q.Header.Get(IdempotencyKeyHeader)},
+		Request: id, Service: service.Name, Method: q.Method, Path: q.URL.RequestURI(),
+		Type: q.Header.Get("Content-Type"), Body: body, Timeout: route.Timeout,
+		Version: func() string {
+			version, _ := e.Versions.Pick(service.Name, id)
+			return version
+		},
+	}
+	answer, err := e.runCall(q, route, c)
+	w.Header().Set(RequestIDHeader, id)
+	switch {
+	case err == nil:
+		e.Stats.Accepted.Add(1)
+		e.writeAnswer(w, answer)
+	case fault.KindOf(err) == fault.Unknown:
+		e.Stats.Accepted.Add(1)
+		e.fail(w, err, ErrorDetail{RequestID: id})
+	default:
+		e.refuse(w, err)
+	}
+}
+
+// maxKeyLength bounds an idempotency key in characters.
+const maxKeyLength = 255
+
+// runCall runs a call once where the route demands it, and with safe retries elsewhere.
+func (e *Entry) runCall(q *asked, route fleet.Route, c once.Call) (once.Answer, error) {
+	if len(c.Key) > maxKeyLength {
+		return once.Answer{}, fault.New(fault.Invalid, "the idempotency key is longer than %d characters", maxKeyLength).
+			Remedy("use a shorter key, such as a UUID")
+	}
+	if !route.Once || isRead(c.Method) {
+		return e.Once.Forward(c)
+	}
+	if c.Key == "" {
+		c.Key = "request:" + c.Request
+	}
+	return e.Once.Do(q.Context(), c)
+}
+
+func isRead(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
+}
+
+func (e *Entry) writeAnswer(w http.ResponseWriter, a once.Answer) {
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	if a.Replayed {
+		w.Header().Set(ReplayedHeader, "true")
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// outcome tells what is known of a call that must not be repeated.
+func (e *Entry) outcome(w http.ResponseWriter, q *asked, id string) {
+	var found *state.OnceRecord
+	e.Store.View(func(s *state.State) {
+		for _, r := range s.Once {
+			if r.Request == id && r.Account == q.account.Name {
+				c := *r
+				found = &c
+			}
+		}
+	})
+	if found == nil {
+		e.fail(w, fault.New(fault.Missing, "no request %q", id).Remedy("check the ID and the client account"), ErrorDetail{})
+		return
+	}
+	writeJSON(w, http.StatusOK, OutcomeAnswer{
+		RequestID: id, Outcome: outcomeWords[found.Outcome], Status: found.Status, Body: string(found.Body),
+	})
+}
+
+// OutcomeAnswer tells how a call that must not be repeated ended.
+type OutcomeAnswer struct {
+	RequestID string `json:"requestId"`
+	// Outcome is pending, answered, notRun or unknown.
+	Outcome string `json:"outcome"`
+	Status  int    `json:"status,omitempty"`
+	Body    string `json:"body,omitempty"`
+}
+
+var outcomeWords = [...]string{
+	state.Pending: "pending", state.Answered: "answered", state.NotRun: "notRun", state.Unsure: "unknown",
+}
--- /dev/null
+++ b/internal/fakes/announce.go
@@ -0,0 +1,119 @@
+package fakes
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"swiftbeam/pkg/admin"
+)
+
+// Announcer makes a fake known to the daemons, as every backend server must. It is embedded in
+// the fakes.
+type Announcer struct {
+	Service string
+	Version string
+	Zone    string
+	Kind    string
+	Token   string
+	// Daemons are the addresses behind the balancer.
+	Daemons []string
+	// Every is the pause between announcements; zero means half a second.
+	Every time.Duration
+	// Load returns the running and waiting requests.
+	Load func() (running, waiting int)
+
+	Address string
+
+	mu        sync.Mutex
+	state     string
+	reclaimAt time.Time
+	sequence  uint64
+	started   time.Time
+	server    *http.Server
+	stop      context.CancelFunc
+	slots     int
+}
+
+func (a *Announcer) start(ctx context.Context, h http.Handler, slots int) error {
+	l, err := listen()
+	if err != nil {
+		return err
+	}
+	a.Address = l.Addr().String()
+	a.slots = slots
+	a.state = "ready"
+	a.started = time.Now()
+	a.server = &http.Server{Handler: h, BaseContext: func(net.Listener) context.Context { return ctx }}
+	go func() { _ = a.server.Serve(l) }()
+	ctx, a.stop = context.WithCancel(ctx)
+	go a.run(ctx)
+	return nil
+}
+
+func (a *Announcer) run(ctx context.Context) {
+	every := a.Every
+	if every == 0 {
+		every = 500 * time.Millisecond
+	}
+	for ctx.Err() == nil {
+		a.announce(ctx)
+		sleep(ctx, every)
+	}
+}
+
+// announce tells one daemon, or another one when the first does not answer.
+func (a *Announcer) announce(ctx context.Context) {
+	for _, i := range rand.Perm(len(a.Daemons)) {
+		c := admin.Client{Address: "http://" + a.Daemons[i], Token: a.Token}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		err := c.Announce(ctx, a.message())
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+func (a *Announcer) message() admin.Announcement {
+	running, waiting := 0, 0
+	if a.Load != nil {
+		running, waiting = a.Load()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	m := admin.Announcement{
+		Service: a.Service, Version: a.Version, Address: a.Address, Zone: a.Zone, Kind: a.Kind,
+		Incarnation: uint64(a.started.UnixNano()), Sequence: a.sequence, State: a.state,
+		Running: running, Waiting: waiting, Slots: a.slots, Reclaimable: true,
+	}
+	if a.state == "reclaimed" {
+		m.ReclaimInMs = max(time.Until(a.reclaimAt).Milliseconds(), 1)
+	}
+	return m
+}
+
+// Leave announces a planned stop.
+func (a *Announcer) Leave(ctx context.Context) { a.become(ctx, "leaving", time.Time{}) }
+
+// Reclaim announces that the VM is taken back after notice.
+func (a *Announcer) Reclaim(ctx context.Context, notice time.Duration) {
+	a.become(ctx, "reclaimed", time.Now().Add(notice))
+}
+
+func (a *Announcer) become(ctx context.Context, state string, at time.Time) {
+	a.mu.Lock()
+	a.state, a.reclaimAt = state, at
+	a.mu.Unlock()
+	a.announce(ctx)
+}
+
+// Kill ends the process of the fake at once.
+func (a *Announcer) Kill() {
+	a.stop()
+	_ = a.server.Close()
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,342 @@
+// Package local runs a small deployment in one process on loopback: daemons, stand-ins for
+// backend servers and the cloud, and clients for operators and callers. The demo, the
+// measurements and the failure tests use it.
+//
+//	d, err := local.Start(ctx, local.Options{Daemons: 3, Folder: dir})
+//	err = d.Put(ctx, "accounts", local.AccountsSection)
+//	answer, err := d.Caller().Stream(ctx, prompt, nil)
+package local
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/daemon"
+	"swiftbeam/internal/fakes"
+	"swiftbeam/internal/lease"
+	"swiftbeam/internal/setup"
+	"swiftbeam/pkg/admin"
+	"swiftbeam/pkg/caller"
+	"swiftbeam/pkg/clock"
+)
+
+// Secrets of the deployment. It listens on loopback only.
+const (
+	operatorToken = "operator-token-of-the-local-deployment"
+	backendToken  = "backend-token-of-the-local-deployment"
+	peerToken     = "peer-token-of-the-local-deployment"
+	callerKey     = "key-of-the-local-caller"
+)
+
+// Zones are the availability zones of the deployment.
+var Zones = []string{"porto-a", "porto-b", "braga-a", "guimaraes-a"}
+
+// Options describe a deployment.
+type Options struct {
+	Daemons int
+	Voters  int
+	// Folder holds the data folders.
+	Folder string
+	Log    logr.Logger
+	// Dial replaces the dialer of the daemon with the given index.
+	Dial func(from int) func(ctx context.Context, network, address string) (net.Conn, error)
+	// ReplaceAfter is the silence after which a voter is replaced; zero means the default.
+	ReplaceAfter clock.Duration
+	BalancerLag  clock.Duration
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Options Options
+	Cloud   *fakes.Cloud
+
+	ctx       context.Context
+	mu        sync.Mutex
+	daemons   []*daemon.Daemon
+	settings  []*setup.Settings
+	operation int
+	client    *http.Client
+}
+
+// Start starts the daemons and the cloud, and waits until the daemons accept requests.
+func Start(ctx context.Context, o Options) (*Deployment, error) {
+	if o.Voters == 0 {
+		o.Voters = min(o.Daemons, 3)
+	}
+	d := &Deployment{Options: o, Cloud: &fakes.Cloud{}, ctx: ctx, client: newClient()}
+	if err := d.Cloud.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.plan(); err != nil {
+		return nil, err
+	}
+	d.daemons = make([]*daemon.Daemon, o.Daemons)
+	for i := range d.daemons {
+		if err := d.Run(i); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.WaitReady(ctx)
+}
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+}
+
+// plan chooses ports and writes the settings of all daemons.
+func (d *Deployment) plan() error {
+	ports, err := freePorts(3 * d.Options.Daemons)
+	if err != nil {
+		return err
+	}
+	var voters, all []string
+	for i := range d.Options.Daemons {
+		all = append(all, ports[3*i+1])
+		if i < d.Options.Voters {
+			voters = append(voters, ports[3*i+1])
+		}
+	}
+	for i := range d.Options.Daemons {
+		d.settings = append(d.settings, d.settingsOf(i, ports[3*i:3*i+3], voters, all))
+	}
+	return nil
+}
+
+func (d *Deployment) settingsOf(i int, ports, voters, all []string) *setup.Settings {
+	lag := d.Options.BalancerLag
+	if lag == 0 {
+		lag = 200 * clock.Millisecond
+	}
+	return &setup.Settings{
+		Name: fmt.Sprintf("entry-%d", i+1), Zone: Zones[i%len(Zones)], Region: "norte",
+		Listen:      setup.Listen{Callers: ports[0], Peers: ports[1], Admin: ports[2]},
+		DataFolder:  filepath.Join(d.Options.Folder, fmt.Sprintf("entry-%d", i+1)),
+		FirstVoters: voters, Peers: all, Voters: d.Options.Voters, PeerToken: peerToken,
+		Operators:    []setup.Principal{{Name: "operator", TokenSHA256: digest(operatorToken), Names: []string{"*"}}},
+		Backends:     []setup.Principal{{Name: "backends", TokenSHA256: digest(backendToken), Names: []string{"*"}}},
+		BalancerLag:  lag,
+		StopTimeout:  20 * clock.Second,
+		Lease:        3 * clock.Second,
+		CloudAddress: d.Cloud.Address, Limits: setup.DefaultLimits,
+	}
+}
+
+func digest(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// freePorts reserves loopback ports by opening and closing them.
+func freePorts(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+// Run starts the daemon with the given index, also again after Kill.
+func (d *Deployment) Run(i int) error {
+	o := daemon.Options{Log: d.Options.Log.WithName(d.settings[i].Name), ReplaceAfter: d.Options.ReplaceAfter}
+	if d.Options.Dial != nil {
+		o.Dial = d.Options.Dial(i)
+	}
+	one, err := daemon.New(d.settings[i], o)
+	if err != nil {
+		return err
+	}
+	if err := one.Start(d.ctx); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.daemons[i] = one
+	return nil
+}
+
+// Daemon returns the running daemon with the given index, or nil.
+func (d *Deployment) Daemon(i int) *daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.daemons[i]
+}
+
+// Kill ends a daemon as a crash would.
+func (d *Deployment) Kill(i int) {
+	one := d.remove(i)
+	if one != nil {
+		one.Kill()
+	}
+}
+
+// Stop ends a daemon as planned.
+func (d *Deployment) Stop(ctx context.Context, i int) error {
+	one := d.Daemon(i)
+	if one == nil {
+		return nil
+	}
+	err := one.Stop(ctx)
+	d.remove(i)
+	return err
+}
+
+func (d *Deployment) remove(i int) *daemon.Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	one := d.daemons[i]
+	d.daemons[i] = nil
+	return one
+}
+
+// Close ends all daemons.
+func (d *Deployment) Close() {
+	for i := range d.settings {
+		d.Kill(i)
+	}
+	d.client.CloseIdleConnections()
+}
+
+// WaitReady returns when every running daemon accepts requests.
+func (d *Deployment) WaitReady(ctx context.Context) error {
+	return d.Until(ctx, "daemons accept requests", func() bool {
+		for i := range d.settings {
+			if one := d.Daemon(i); one != nil && one.Standing() != lease.Leased {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Until waits for a condition.
+func (d *Deployment) Until(ctx context.Context, what string, met func() bool) error {
+	for !met() {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("gave up waiting: %s", what)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// live returns the addresses chosen by pick of the daemons that a balancer would use.
+func (d *Deployment) live(pick func(setup.Listen) string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []string
+	for i, one := range d.daemons {
+		if one != nil && one.Standing().Accepts() {
+			list = append(list, pick(d.settings[i].Listen))
+		}
+	}
+	return list
+}
+
+// Caller returns a client that calls through any daemon that accepts requests now.
+func (d *Deployment) Caller() *caller.Client {
+	c := &caller.Client{Key: callerKey, HTTP: d.client}
+	for _, address := range d.live(func(l setup.Listen) string { return l.Callers }) {
+		c.Addresses = append(c.Addresses, "http://"+address)
+	}
+	return c
+}
+
+// CallerAt returns a client that calls one daemon.
+func (d *Deployment) CallerAt(i int) *caller.Client {
+	return &caller.Client{Key: callerKey, HTTP: d.client, Addresses: []string{"http://" + d.settings[i].Listen.Callers}}
+}
+
+// Operator returns a client of one running daemon.
+func (d *Deployment) Operator() *admin.Client {
+	return &admin.Client{Address: "http://" + d.live(func(l setup.Listen) string { return l.Admin })[0], Token: operatorToken, HTTP: d.client}
+}
+
+// OperatorAt returns a client of the daemon with the given index.
+func (d *Deployment) OperatorAt(i int) *admin.Client {
+	return &admin.Client{Address: "http://" + d.settings[i].Listen.Admin, Token: operatorToken, HTTP: d.client}
+}
+
+// Put writes a section over its newest version.
+func (d *Deployment) Put(ctx context.Context, section, text string) error {
+	c := d.Operator()
+	base := uint64(0)
+	if old, err := c.Get(ctx, section); err == nil {
+		base = old.Version
+	}
+	d.mu.Lock()
+	d.operation++
+	operation := fmt.Sprintf("operation-%d", d.operation)
+	d.mu.Unlock()
+	_, err := c.Put(ctx, section, admin.PutSection{Base: base, Operation: operation, Text: text})
+	return err
+}
+
+// Announcer returns the announcing part of a fake backend server in an availability zone.
+func (d *Deployment) Announcer(service, version, zone string) fakes.Announcer {
+	var addresses []string
+	for _, s := range d.settings {
+		addresses = append(addresses, s.Listen.Admin)
+	}
+	return fakes.Announcer{Service: service, Version: version, Zone: zone, Token: backendToken, Daemons: addresses}
+}
+
+// Engine starts a fake model engine of luthier-model.
+func (d *Deployment) Engine(version, zone string, change func(*fakes.Engine)) (*fakes.Engine, error) {
+	e := &fakes.Engine{
+		Announcer: d.Announcer("luthier-model", version, zone),
+		Slots:     16, Gap: 4 * time.Millisecond, Prefill: 2 * time.Millisecond,
+	}
+	if change != nil {
+		change(e)
+	}
+	return e, e.Start(d.ctx)
+}
+
+// Ledger starts a fake of commission-ledger.
+func (d *Deployment) Ledger(book *fakes.Book, zone string) (*fakes.Ledger, error) {
+	l := &fakes.Ledger{Announcer: d.Announcer("commission-ledger", "v1", zone), Book: book, Work: 5 * time.Millisecond}
+	return l, l.Start(d.ctx)
+}
+
+// AccountsSection holds the client account of Caller.
+var AccountsSection = fmt.Sprintf(`{
+	"kind": "accounts",
+	"accounts": [{"name": "oficina", "keySHA256": %q, "share": 4}],
+}`, digest(callerKey))
+
+// LedgerSection describes commission-ledger.
+const LedgerSection = `{
+	"kind": "service", "type": "plain", "version": "v1",
+	"routes": [{"name": "deposits", "path": "/deposits", "once": true, "timeout": "5s"}],
+}`
+
+// ModelSection describes luthier-model; move is empty or a move such as
+// `"move": {"to": "v2", "finishBy": "..."}`.
+func ModelSection(version, move string) string {
+	return fmt.Sprintf(`{
+	"kind": "service", "type": "engine", "version": %q,
+	"routes": [
+		{"name": "quick", "priority": "urgent", "timeout": "30s"},
+		{"name": "dossier", "priority": "bulk", "timeout": "60s"},
+	],
+	%s
+}`, version, move)
+}
--- /dev/null
+++ b/internal/manage/manage.go
@@ -0,0 +1,346 @@
+// Package manage serves operators and backend servers: sections of the operators' document,
+// version moves, state dumps, metrics and announcements.
+//
+//	m := &manage.Manage{Store: store, Roster: roster, ...}
+//	http.Serve(listener, m.Handler())
+package manage
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/member"
+	"swiftbeam/internal/roster"
+	"swiftbeam/internal/setup"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/store"
+	"swiftbeam/pkg/admin"
+	"swiftbeam/pkg/clock"
+	"swiftbeam/pkg/fleet"
+)
+
+// putTimeout bounds the commit of a section.
+const putTimeout = 8 * clock.Second
+
+// maxBodyBytes bounds the body of a call.
+const maxBodyBytes = 1 << 20
+
+// Manage is the service. Set all fields.
+type Manage struct {
+	Clock    clock.Clock
+	Settings *setup.Settings
+	Kernel   *kernel.Kernel
+	Store    *store.Store
+	Roster   *roster.Roster
+	Metrics  metrics.Registry
+	Self     member.Daemon
+}
+
+// Handler returns the HTTP handler for operators and backend servers.
+func (m *Manage) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Handle(admin.AnnouncePath, m.Announcements()).Methods(http.MethodPost)
+	r.HandleFunc(admin.SectionsPath, m.operator(m.list)).Methods(http.MethodGet)
+	r.HandleFunc(admin.SectionsPath+"/{name}", m.operator(m.get)).Methods(http.MethodGet)
+	r.HandleFunc(admin.SectionsPath+"/{name}", m.operator(m.put)).Methods(http.MethodPut)
+	r.HandleFunc(admin.StatusPath, m.operator(m.status)).Methods(http.MethodGet)
+	r.HandleFunc(admin.VersionsPath, m.operator(m.versions)).Methods(http.MethodGet)
+	r.HandleFunc(admin.WatchPath, m.operator(m.watch)).Methods(http.MethodGet)
+	r.HandleFunc(admin.DumpPath, m.operator(m.dump)).Methods(http.MethodGet)
+	r.HandleFunc(admin.DumpPath+"/{name}", m.operator(m.dump)).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", m.operator(m.metrics)).Methods(http.MethodGet)
+	return r
+}
+
+// action is an authenticated call.
+type action struct {
+	*http.Request
+	by setup.Principal
+}
+
+func (m *Manage) operator(next func(http.ResponseWriter, *action) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		by, err := m.authenticate(r, m.Settings.Operators)
+		if err == nil {
+			r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+			err = next(w, &action{Request: r, by: by})
+		}
+		if err != nil {
+			fail(w, err)
+		}
+	}
+}
+
+// authenticate finds the principal of a bearer token or of a verified client certificate.
+func (m *Manage) authenticate(r *http.Request, principals []setup.Principal) (setup.Principal, error) {
+	token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	digest := hex.EncodeToString(sum[:])
+	common := ""
+	if r.TLS != nil && len(r.TLS.VerifiedChains) > 0 {
+		common = r.TLS.VerifiedChains[0][0].Subject.CommonName
+	}
+	for _, p := range principals {
+		if token != "" && p.TokenSHA256 == digest || common != "" && p.CommonName == common {
+			return p, nil
+		}
+	}
+	if m.Settings.Open {
+		return setup.Principal{Name: "anyone", Names: []string{"*"}}, nil
+	}
+	return setup.Principal{}, fault.New(fault.Denied, "unknown credentials").
+		Remedy("send a token of the settings, or a client certificate")
+}
+
+// may reports whether the principal's names cover name.
+func may(p setup.Principal, name string) bool {
+	return slices.ContainsFunc(p.Names, func(allowed string) bool {
+		prefix, wild := strings.CutSuffix(allowed, "*")
+		return allowed == name || wild && strings.HasPrefix(name, prefix)
+	})
+}
+
+func (m *Manage) list(w http.ResponseWriter, _ *action) error {
+	answer := admin.SectionList{Sections: []admin.Section{}}
+	m.Store.View(func(s *state.State) {
+		for _, section := range s.Sections {
+			answer.Sections = append(answer.Sections, sectionAnswer(section, false))
+		}
+	})
+	slices.SortFunc(answer.Sections, func(a, b admin.Section) int { return strings.Compare(a.Name, b.Name) })
+	return write(w, answer)
+}
+
+func sectionAnswer(s *state.Section, text bool) admin.Section {
+	last := s.Last()
+	answer := admin.Section{
+		Name: s.Name, Version: last.Version, Owner: last.Owner, Operation: last.Operation, At: last.At.String(),
+	}
+	if text {
+		answer.Text = last.Text
+	}
+	return answer
+}
+
+func (m *Manage) get(w http.ResponseWriter, a *action) error {
+	name := mux.Vars(a.Request)["name"]
+	var answer admin.Section
+	found := false
+	m.Store.View(func(s *state.State) {
+		if section := s.Sections[name]; section != nil {
+			answer, found = sectionAnswer(section, true), true
+		}
+	})
+	if !found {
+		return fault.New(fault.Missing, "no section %q", name).Remedy("put it with base 0 to create it")
+	}
+	return write(w, answer)
+}
+
+func (m *Manage) put(w http.ResponseWriter, a *action) error {
+	name := mux.Vars(a.Request)["name"]
+	if !may(a.by, name) {
+		return fault.New(fault.Denied, "%s may not write section %q", a.by.Name, name).
+			Remedy("ask its owner, or extend the operator's sections in the settings")
+	}
+	var p admin.PutSection
+	if err := json.NewDecoder(a.Body).Decode(&p); err != nil {
+		return fault.New(fault.Invalid, "body is no section write: %v", err).Remedy("send base, operation and text")
+	}
+	if p.Operation == "" {
+		return fault.New(fault.Invalid, `field "operation" is missing`).Remedy("send an ID that is unique to this write")
+	}
+	ctx, cancel := context.WithTimeout(a.Context(), putTimeout.Std())
+	defer cancel()
+	result, err := m.Store.Propose(ctx, state.PutSection{
+		Operation: a.by.Name + "/" + p.Operation, Section: name, Owner: a.by.Name, Base: p.Base, Text: p.Text,
+	})
+	if err != nil {
+		return err
+	}
+	return m.putAnswer(w, result)
+}
+
+func (m *Manage) putAnswer(w http.ResponseWriter, r state.Result) error {
+	switch r.Code {
+	case state.Done:
+		return write(w, admin.PutAnswer{Version: r.Version})
+	case state.Stale:
+		return &conflict{version: r.Version, err: fault.New(fault.Conflict, "the section is at version %d", r.Version).Remedy("%s", r.Detail)}
+	}
+	return fault.New(fault.Invalid, "%s", r.Detail)
+}
+
+// conflict is an error that names the present version.
+type conflict struct {
+	version uint64
+	err     error
+}
+
+func (c *conflict) Error() string { return c.err.Error() }
+func (c *conflict) Unwrap() error { return c.err }
+
+func (m *Manage) status(w http.ResponseWriter, _ *action) error {
+	var version, at, applied uint64
+	m.Store.View(func(s *state.State) { version, at, applied = s.Version, s.VersionAt, s.Applied })
+	status := m.Store.Status()
+	answer := admin.Status{Version: version, InForce: true, Repair: strings.ToLower(status.Repair.String())}
+	live := make(map[string]member.Daemon)
+	for _, d := range m.Roster.Live() {
+		live[d.ID] = d
+	}
+	for _, v := range status.Members {
+		d, heard := live[string(v.ID)]
+		if v.ID == status.ID {
+			heard, d.Applied = true, applied
+		}
+		if v.ID == status.Leader {
+			answer.Leader = v.Name
+		}
+		one := admin.DaemonStatus{Name: v.Name, Zone: v.Zone, Voter: v.Voter, Heard: heard, InForce: heard && d.Applied >= at}
+		answer.InForce = answer.InForce && (one.InForce || !heard)
+		answer.Daemons = append(answer.Daemons, one)
+	}
+	return write(w, answer)
+}
+
+func (m *Manage) versions(w http.ResponseWriter, _ *action) error {
+	return write(w, m.moveList())
+}
+
+func (m *Manage) moveList() admin.MoveList {
+	list := admin.MoveList{Moves: []admin.Move{}}
+	m.Store.View(func(s *state.State) {
+		for _, v := range s.Moves {
+			list.Moves = append(list.Moves, moveAnswer(v))
+		}
+	})
+	slices.SortFunc(list.Moves, func(a, b admin.Move) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+func moveAnswer(v *state.Move) admin.Move {
+	return admin.Move{
+		Service: v.Service, From: v.From, To: v.To, Stage: camel(v.Stage.String()),
+		Percent: float64(v.Share) * 100 / state.FullShare, Reason: camel(v.Reason.String()), Evidence: v.Evidence,
+		Started: v.Started.String(), FinishBy: v.FinishBy.String(), Ended: v.Stage.Ended(), Revision: v.Revision,
+	}
+}
+
+// camel turns the name of an enum value into the form of JSON values.
+func camel(name string) string { return strings.ToLower(name[:1]) + name[1:] }
+
+// watch streams each change of a version move as a server-sent event.
+func (m *Manage) watch(w http.ResponseWriter, a *action) error {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	out := http.NewResponseController(w)
+	seen := make(map[string]uint64)
+	for {
+		changed := m.Store.Changed()
+		for _, v := range m.moveList().Moves {
+			key := v.Service + "/" + v.To + "/" + v.Started
+			if seen[key] == v.Revision {
+				continue
+			}
+			seen[key] = v.Revision
+			data, _ := json.Marshal(v)
+			_, _ = w.Write([]byte("event: move\ndata: " + string(data) + "\n\n"))
+		}
+		if out.Flush() != nil {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-a.Context().Done():
+			return nil
+		}
+	}
+}
+
+func (m *Manage) dump(w http.ResponseWriter, a *action) error {
+	states, err := m.Kernel.Dump(mux.Vars(a.Request)["name"])
+	if err != nil {
+		return err
+	}
+	return write(w, states)
+}
+
+// Announcements returns the handler for the announcements of backend servers.
+func (m *Manage) Announcements() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := m.announce(w, r); err != nil {
+			fail(w, err)
+		}
+	})
+}
+
+func (m *Manage) announce(w http.ResponseWriter, r *http.Request) error {
+	by, err := m.authenticate(r, m.Settings.Backends)
+	if err != nil {
+		return err
+	}
+	var a admin.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&a); err != nil {
+		return fault.New(fault.Invalid, "body is no announcement: %v", err).Remedy("send the documented fields")
+	}
+	if !may(by, a.Service) {
+		return fault.New(fault.Denied, "%s may not announce service %q", by.Name, a.Service).
+			Remedy("add the service to backendServers in the settings")
+	}
+	b, err := backend(m.Clock.Now(), a)
+	if err != nil {
+		return err
+	}
+	m.Roster.Announce(b)
+	w.WriteHeader(http.StatusNoContent)
+	return nil
+}
+
+func fail(w http.ResponseWriter, err error) {
+	status := http.StatusInternalServerError
+	kind := fault.KindOf(err)
+	switch kind {
+	case fault.Invalid:
+		status = http.StatusBadRequest
+	case fault.Denied:
+		status = http.StatusForbidden
+	case fault.Missing:
+		status = http.StatusNotFound
+	case fault.Conflict:
+		status = http.StatusConflict
+	case fault.Unavailable, fault.Exhausted, fault.Unknown:
+		status = http.StatusServiceUnavailable
+	}
+	e := admin.Error{Kind: camel(kind.String()), Message: err.Error()}
+	var c *conflict
+	if errors.As(err, &c) {
+		e.Version = c.version
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(e)
+}
+
+func write(w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+	return nil
+}
+
+var kinds = map[string]fleet.BackendKind{"engine": fleet.Engine, "plain": fleet.Plain}
+
+var states = map[string]fleet.BackendState{
+	"": fleet.Ready, "ready": fleet.Ready, "leaving": fleet.Leaving, "reclaimed": fleet.Reclaimed,
+}
--- /dev/null
+++ b/internal/peers/server.go
@@ -0,0 +1,161 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/store"
+	"swiftbeam/internal/wire"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/internal/wire/peerpb/peerpbconnect"
+)
+
+// Gossiper merges what other daemons pass on.
+type Gossiper interface {
+	HearGossip(*peerpb.GossipRequest)
+}
+
+// Holder keeps copies of accepted requests for other daemons.
+type Holder interface {
+	Mirror([]*peerpb.HeldRequest)
+	// Fetch waits for tokens from index first on, until ctx ends at the latest.
+	Fetch(ctx context.Context, r *peerpb.FetchRequest) *peerpb.FetchResponse
+}
+
+// Collector takes version evidence.
+type Collector interface {
+	Collect(*peerpb.ReportRequest)
+}
+
+// Server answers other daemons. Set all fields.
+type Server struct {
+	Token     string
+	Store     *store.Store
+	Net       *Net
+	Gossiper  Gossiper
+	Holder    Holder
+	Collector Collector
+}
+
+// Handler returns the HTTP handler of the server with its path.
+func (s *Server) Handler() (string, http.Handler) {
+	path, h := peerpbconnect.NewPeersHandler(s, connect.WithInterceptors(s.authorize()),
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes))
+	return path, h
+}
+
+func (s *Server) authorize() connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			token, ok := strings.CutPrefix(r.Header().Get("Authorization"), "Bearer ")
+			if !ok || !EqualTokens(token, s.Token) {
+				return nil, connect.NewError(connect.CodeUnauthenticated,
+					fault.New(fault.Denied, "unknown peer token").Remedy("give all daemons the same peerToken"))
+			}
+			return next(ctx, r)
+		}
+	}
+}
+
+// EqualTokens compares two secrets in constant time. Empty secrets are never equal.
+func EqualTokens(a, b string) bool {
+	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return a != "" && b != "" && subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+// Deliver hands consensus messages to the store.
+func (s *Server) Deliver(_ context.Context, r *connect.Request[peerpb.DeliverRequest]) (*connect.Response[peerpb.DeliverResponse], error) {
+	messages := make([]quorum.Message, 0, len(r.Msg.GetEnvelopes()))
+	for _, e := range r.Msg.GetEnvelopes() {
+		m, err := wire.EnvelopeFromPB(e)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		}
+		messages = append(messages, m)
+	}
+	s.Store.Deliver(wire.MemberFromPB(r.Msg.GetSender()), messages)
+	return connect.NewResponse(&peerpb.DeliverResponse{}), nil
+}
+
+// Identify names this daemon.
+func (s *Server) Identify(context.Context, *connect.Request[peerpb.IdentifyRequest]) (*connect.Response[peerpb.IdentifyResponse], error) {
+	return connect.NewResponse(&peerpb.IdentifyResponse{
+		Member: wire.MemberToPB(s.Store.Self), Formed: !s.Store.Fresh(),
+	}), nil
+}
+
+// Join adds a daemon to the group, through the leader where that is another daemon.
+func (s *Server) Join(ctx context.Context, r *connect.Request[peerpb.JoinRequest]) (*connect.Response[peerpb.JoinResponse], error) {
+	status := s.Store.Status()
+	if status.Role != quorum.Leader {
+		return s.forwardJoin(ctx, status, r)
+	}
+	member := wire.MemberFromPB(r.Msg.GetMember())
+	if err := s.Store.Change(ctx, quorum.AddLearner, member); err != nil {
+		return nil, code(err)
+	}
+	return connect.NewResponse(&peerpb.JoinResponse{}), nil
+}
+
+func (s *Server) forwardJoin(ctx context.Context, status store.Status, r *connect.Request[peerpb.JoinRequest]) (*connect.Response[peerpb.JoinResponse], error) {
+	if status.LeaderAt == "" || r.Header().Get(forwardedHeader) != "" {
+		return nil, connect.NewError(connect.CodeUnavailable, fault.New(fault.Unavailable, "no leader is known").Remedy("retry"))
+	}
+	forward := connect.NewRequest(r.Msg)
+	forward.Header().Set(forwardedHeader, "1")
+	return s.Net.Client(status.LeaderAt).Join(ctx, forward)
+}
+
+// forwardedHeader marks a request that was forwarded to the leader once.
+const forwardedHeader = "Swiftbeam-Forwarded"
+
+// Propose commits a command with this daemon as the leader.
+func (s *Server) Propose(ctx context.Context, r *connect.Request[peerpb.ProposeRequest]) (*connect.Response[peerpb.ProposeResponse], error) {
+	index, result, err := s.Store.ProposeHere(ctx, r.Msg.GetCommand())
+	if err != nil {
+		return nil, code(err)
+	}
+	return connect.NewResponse(&peerpb.ProposeResponse{Index: index, Result: wire.EncodeResult(result)}), nil
+}
+
+// Gossip merges what another daemon heard.
+func (s *Server) Gossip(_ context.Context, r *connect.Request[peerpb.GossipRequest]) (*connect.Response[peerpb.GossipResponse], error) {
+	s.Gossiper.HearGossip(r.Msg)
+	return connect.NewResponse(&peerpb.GossipResponse{}), nil
+}
+
+// Mirror stores copies of accepted requests.
+func (s *Server) Mirror(_ context.Context, r *connect.Request[peerpb.MirrorRequest]) (*connect.Response[peerpb.MirrorResponse], error) {
+	s.Holder.Mirror(r.Msg.GetRequests())
+	return connect.NewResponse(&peerpb.MirrorResponse{}), nil
+}
+
+// Fetch reads a held request.
+func (s *Server) Fetch(ctx context.Context, r *connect.Request[peerpb.FetchRequest]) (*connect.Response[peerpb.FetchResponse], error) {
+	return connect.NewResponse(s.Holder.Fetch(ctx, r.Msg)), nil
+}
+
+// Report takes version evidence.
+func (s *Server) Report(_ context.Context, r *connect.Request[peerpb.ReportRequest]) (*connect.Response[peerpb.ReportResponse], error) {
+	s.Collector.Collect(r.Msg)
+	return connect.NewResponse(&peerpb.ReportResponse{}), nil
+}
+
+func code(err error) error {
+	switch fault.KindOf(err) {
+	case fault.Unavailable, fault.Exhausted:
+		return connect.NewError(connect.CodeUnavailable, err)
+	case fault.Invalid:
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	case fault.Unknown:
+		return connect.NewError(connect.CodeDeadlineExceeded, err)
+	}
+	return connect.NewError(connect.CodeInternal, err)
+}
--- /dev/null
+++ b/internal/pilot/pilot.go
@@ -0,0 +1,328 @@
+// Package pilot applies version moves on a daemon. Every daemon judges the requests that it
+// relays, brakes on its own evidence, and reports to the leader; the leader decides the stages
+// by the evidence of all and commits them to the replicated state.
+//
+//	version, first := p.Pick("luthier-model", requestID)
+//	p.Observe(observation)
+package pilot
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/moves"
+	"swiftbeam/internal/peers"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/roster"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/store"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+// Rhythm of the pilot.
+const (
+	// ReportInterval is the pause between two reports and two decisions.
+	ReportInterval = 500 * clock.Millisecond
+	reportTimeout  = clock.Second
+	proposeTimeout = 2 * clock.Second
+)
+
+// Pilot is the service. Set the exported fields before Start.
+type Pilot struct {
+	Self   string
+	Clock  clock.Clock
+	Store  *store.Store
+	Net    *peers.Net
+	Roster *roster.Roster
+	Log    logr.Logger
+	// Leased reports whether traffic may go to versions that are not settled.
+	Leased func() bool
+
+	mu     sync.Mutex
+	judge  moves.Judge
+	local  map[string]*evidence
+	global map[string]*evidence
+	// totals are the cumulative tallies of this daemon, reported to the leader.
+	totals map[moves.Scope]*moves.Tally
+	// heard are the totals that each daemon reported last.
+	heard map[string]map[moves.Scope]moves.Tally
+}
+
+// evidence is the ledger of one move with the brake that it pulled.
+type evidence struct {
+	ledger  moves.Ledger
+	started clock.Instant
+	fault   *moves.Finding
+}
+
+// Start begins to report and to decide.
+func (p *Pilot) Start(ctx context.Context, g *kernel.Group) error {
+	p.mu.Lock()
+	p.local = make(map[string]*evidence)
+	p.global = make(map[string]*evidence)
+	p.totals = make(map[moves.Scope]*moves.Tally)
+	p.heard = make(map[string]map[moves.Scope]moves.Tally)
+	p.mu.Unlock()
+	g.Go(func() { p.run(ctx) })
+	return nil
+}
+
+// Settled returns the version that serves outside of any move.
+func (p *Pilot) Settled(service string) string {
+	var version string
+	p.Store.View(func(s *state.State) { version = s.Settled(service) })
+	return version
+}
+
+// move returns a copy of the move of a service, or nil.
+func (p *Pilot) move(service string) *state.Move {
+	var found *state.Move
+	p.Store.View(func(s *state.State) {
+		if m := s.Moves[service]; m != nil {
+			c := *m
+			found = &c
+		}
+	})
+	return found
+}
+
+// Pick returns the version for a request and to how many of its servers it goes.
+func (p *Pilot) Pick(service, id string) (string, int) {
+	settled := p.Settled(service)
+	m := p.move(service)
+	version := moves.Pick(settled, m, draw(id), m != nil && p.Avoids(service, m.To))
+	if m == nil || version == settled || m.Stage != state.Trial {
+		return version, 0
+	}
+	ready := p.Roster.Ready(service, m.To)
+	if ready == 0 {
+		return settled, 0
+	}
+	return version, moves.Concentrate(m.Share, p.Roster.Ready(service, m.From), ready)
+}
+
+// draw maps a request to a number that is the same at all daemons.
+func draw(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64() >> 8
+}
+
+// Avoids reports whether no new work may go to a version: it was rolled back, this daemon's
+// brake holds it, or the daemon has no lease and the version is not settled.
+func (p *Pilot) Avoids(service, version string) bool {
+	m := p.move(service)
+	if m == nil || m.To != version || m.Stage == state.Finished {
+		return false
+	}
+	if m.Stage.Ended() || !p.Leased() {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.local[service]
+	return e != nil && e.started == m.Started && e.fault != nil
+}
+
+// Observe takes the end of a request as evidence.
+func (p *Pilot) Observe(o moves.Observation) {
+	m := p.move(o.Service)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := m == nil || o.Version != m.To
+	tally := p.judge.Classify(o, old)
+	if m == nil || m.Stage.Ended() || o.Version != m.To && o.Version != m.From {
+		return
+	}
+	scope := moves.Scope{Service: o.Service, Version: o.Version, Route: o.Route, Account: o.Account}
+	e := p.evidence(p.local, m)
+	e.ledger.Add(p.Clock.Now(), scope, tally)
+	if p.totals[scope] == nil {
+		p.totals[scope] = &moves.Tally{}
+	}
+	p.totals[scope].Add(tally)
+	if !old && e.fault == nil {
+		if e.fault = e.ledger.Find(); e.fault != nil {
+			p.Log.Info("brake pulled", "service", o.Service, "version", o.Version, "evidence", e.fault.Evidence())
+		}
+	}
+}
+
+// evidence returns the ledger of a move, a new one when the move was started anew.
+func (p *Pilot) evidence(of map[string]*evidence, m *state.Move) *evidence {
+	e := of[m.Service]
+	if e != nil && e.started == m.Started && e.ledger.To == m.To {
+		return e
+	}
+	e = &evidence{
+		started: m.Started,
+		ledger:  moves.Ledger{Service: m.Service, From: m.From, To: m.To, Method: moves.DefaultTest},
+	}
+	of[m.Service] = e
+	return e
+}
+
+// Collect takes the report of a daemon.
+func (p *Pilot) Collect(r *peerpb.ReportRequest) {
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	last := p.heard[r.GetDaemon()]
+	next := make(map[moves.Scope]moves.Tally, len(r.GetSamples()))
+	for _, s := range r.GetSamples() {
+		scope := moves.Scope{Service: s.GetService(), Version: s.GetVersion(), Route: s.GetRoute(), Account: s.GetAccount()}
+		total := tallyFromPB(s)
+		next[scope] = total
+		p.addGlobal(now, scope, total.Since(last[scope]))
+	}
+	p.heard[r.GetDaemon()] = next
+}
+
+func (p *Pilot) addGlobal(now clock.Instant, scope moves.Scope, t moves.Tally) {
+	m := p.move(scope.Service)
+	if t.Requests == 0 || m == nil || m.Stage.Ended() || scope.Version != m.To && scope.Version != m.From {
+		return
+	}
+	e := p.evidence(p.global, m)
+	e.ledger.Add(now, scope, t)
+}
+
+func tallyFromPB(s *peerpb.Sample) moves.Tally {
+	return moves.NewTally(s.GetRequests(), s.GetFailed(), s.GetSlowFirst(), s.GetSlowGap(), s.GetShortAnswers())
+}
+
+func tallyToPB(scope moves.Scope, t *moves.Tally) *peerpb.Sample {
+	failed, slowFirst, slowGap, short := t.Counts()
+	return &peerpb.Sample{
+		Service: scope.Service, Version: scope.Version, Route: scope.Route, Account: scope.Account,
+		Requests: t.Requests, Failed: failed, SlowFirst: slowFirst, SlowGap: slowGap, ShortAnswers: short,
+	}
+}
+
+func (p *Pilot) run(ctx context.Context) {
+	timer := time.NewTicker(ReportInterval.Std())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		status := p.Store.Status()
+		if status.Role == quorum.Leader {
+			p.Collect(p.report())
+			p.decide(ctx)
+		} else if status.LeaderAt != "" {
+			p.send(ctx, status.LeaderAt)
+		}
+	}
+}
+
+func (p *Pilot) report() *peerpb.ReportRequest {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := &peerpb.ReportRequest{Daemon: p.Self}
+	for scope, t := range p.totals {
+		if m := p.move(scope.Service); m == nil || m.Stage.Ended() {
+			delete(p.totals, scope)
+			continue
+		}
+		r.Samples = append(r.Samples, tallyToPB(scope, t))
+	}
+	return r
+}
+
+func (p *Pilot) send(ctx context.Context, leader string) {
+	r := p.report()
+	if len(r.GetSamples()) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout.Std())
+	defer cancel()
+	_, _ = p.Net.Client(leader).Report(ctx, connect.NewRequest(r))
+}
+
+// decide commits the next step of each move, as the leader.
+func (p *Pilot) decide(ctx context.Context) {
+	for _, step := range p.steps() {
+		propose, cancel := context.WithTimeout(ctx, proposeTimeout.Std())
+		result, err := p.Store.Propose(propose, step)
+		cancel()
+		if err == nil && result.Code == state.Done {
+			p.Log.Info("version move", "service", step.Service, "version", step.Version,
+				"stage", step.Stage.String(), "share", step.Share, "reason", step.Reason.String(), "evidence", step.Evidence)
+		}
+	}
+}
+
+func (p *Pilot) steps() []state.MoveStep {
+	running, routes := p.running()
+	now := p.Clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var steps []state.MoveStep
+	for i := range running {
+		m := &running[i]
+		e := p.evidence(p.global, m)
+		if e.fault == nil {
+			e.fault = e.ledger.Find()
+		}
+		step, ok := moves.Decide(now, m, moves.Inputs{
+			ReadyOld: p.Roster.Ready(m.Service, m.From), ReadyNew: p.Roster.Ready(m.Service, m.To),
+			Routes: e.ledger.Seen(routes[m.Service]), Fault: e.fault,
+		})
+		if ok {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// running returns the moves that have not ended and the routes of their services.
+func (p *Pilot) running() ([]state.Move, map[string][]string) {
+	var list []state.Move
+	routes := make(map[string][]string)
+	p.Store.View(func(s *state.State) {
+		for name, m := range s.Moves {
+			if m.Stage.Ended() {
+				continue
+			}
+			list = append(list, *m)
+			for _, r := range s.Document.Services[name].Routes {
+				routes[name] = append(routes[name], r.Name)
+			}
+		}
+	})
+	slices.SortFunc(list, func(a, b state.Move) int { return cmp.Compare(a.Service, b.Service) })
+	return list, routes
+}
+
+// Dump is the shown state of a pilot.
+type Dump struct {
+	Moves  []state.Move
+	Braked []string
+}
+
+// Dump returns the running moves and the services whose new version this daemon holds back.
+func (p *Pilot) Dump() any {
+	running, _ := p.running()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := Dump{Moves: running}
+	for service, e := range p.local {
+		if e.fault != nil {
+			d.Braked = append(d.Braked, service)
+		}
+	}
+	slices.Sort(d.Braked)
+	return d
+}
--- /dev/null
+++ b/internal/quorum/log.go
@@ -0,0 +1,98 @@
+package quorum
+
+// entryLog is the log after its snapshot base.
+type entryLog struct {
+	base    Snapshot
+	entries []Entry
+}
+
+func (l *entryLog) last() uint64 {
+	return l.base.Index + uint64(len(l.entries))
+}
+
+// term returns the term of the entry at index; it is false for an entry that the log does not
+// hold.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	if index == l.base.Index {
+		return l.base.Term, true
+	}
+	if index < l.base.Index || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.base.Index-1].Term, true
+}
+
+// slice returns the entries from index from up to but without index to.
+func (l *entryLog) slice(from, to uint64) []Entry {
+	from = max(from, l.base.Index+1)
+	to = min(to, l.last()+1)
+	if from >= to {
+		return nil
+	}
+	return l.entries[from-l.base.Index-1 : to-l.base.Index-1]
+}
+
+// batch returns the entries from index from on, up to about bytes of data and at least one.
+func (l *entryLog) batch(from uint64, bytes int) []Entry {
+	all := l.slice(from, l.last()+1)
+	for i, e := range all {
+		bytes -= len(e.Data) + entryOverheadBytes
+		if bytes < 0 && i > 0 {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+// entryOverheadBytes is the size of an entry beside its data.
+const entryOverheadBytes = 16
+
+// unknown returns the suffix of entries that the log lacks or holds with another term.
+func (l *entryLog) unknown(entries []Entry) []Entry {
+	for i, e := range entries {
+		term, ok := l.term(e.Index)
+		if !ok || term != e.Term {
+			return entries[i:]
+		}
+	}
+	return nil
+}
+
+// replace stores entries in place of all from the first of them on.
+func (l *entryLog) replace(entries []Entry) {
+	l.entries = replaceTail(l.entries, entries)
+}
+
+// compact drops the entries up to index in favour of a snapshot.
+func (l *entryLog) compact(index uint64, data []byte, members []Member) {
+	term, ok := l.term(index)
+	if !ok || index <= l.base.Index {
+		return
+	}
+	rest := l.slice(index+1, l.last()+1)
+	l.entries = append([]Entry(nil), rest...)
+	l.base = Snapshot{Index: index, Term: term, Members: members, Data: data}
+}
+
+// members returns the newest membership in the log and its index.
+func (l *entryLog) members() ([]Member, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Kind == Config {
+			return l.entries[i].Members, l.entries[i].Index
+		}
+	}
+	return l.base.Members, l.base.Index
+}
+
+// replaceTail returns list with all entries from tail[0].Index on replaced by tail. It does not
+// write to the array behind list where an older reader may still see it.
+func replaceTail(list, tail []Entry) []Entry {
+	if len(list) == 0 || tail[0].Index > list[len(list)-1].Index {
+		return append(list, tail...)
+	}
+	if tail[0].Index <= list[0].Index {
+		return append([]Entry(nil), tail...)
+	}
+	keep := int(tail[0].Index - list[0].Index)
+	return append(append([]Entry(nil), list[:keep]...), tail...)
+}
--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,245 @@
+// Package setup reads the settings of a daemon: JSON with comments, checked as a whole.
+//
+//	settings, problems := setup.Parse(text)
+//	for _, p := range problems {
+//		fmt.Println(p) // line:column: field: what is wrong; remedy
+//	}
+package setup
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+
+	"swiftbeam/internal/jsonc"
+	"swiftbeam/pkg/clock"
+	"swiftbeam/pkg/conf"
+)
+
+// Settings configure one daemon.
+type Settings struct {
+	Name   string
+	Zone   string
+	Region string
+	Listen Listen
+	// DataFolder is empty for a daemon without a disk.
+	DataFolder  string
+	FirstVoters []string
+	Peers       []string
+	Voters      int
+	PeerToken   string
+	Operators   []Principal
+	Backends    []Principal
+	TLS         *TLS
+	Open        bool
+	BalancerLag clock.Duration
+	StopTimeout clock.Duration
+	Lease       clock.Duration
+	// CloudAddress is the address of the cloud API, empty when there is none.
+	CloudAddress string
+	Limits       Limits
+}
+
+// Listen holds the addresses of a daemon, each an IP number with a port.
+type Listen struct {
+	Callers string
+	Peers   string
+	Admin   string
+}
+
+// Principal is an operator or a group of backend servers, known by a token or by the common
+// name of a client certificate.
+type Principal struct {
+	Name        string
+	TokenSHA256 string
+	CommonName  string
+	// Names are the sections that an operator may write, or the services of backend servers.
+	// A name that ends in * stands for all names with that beginning.
+	Names []string
+}
+
+// TLS names the files for encrypted connections.
+type TLS struct {
+	Certificate string
+	Key         string
+	ClientCA    string
+}
+
+// Limits bound what a daemon accepts.
+type Limits struct {
+	BodyBytes   int64
+	HeaderBytes int
+	// ReadTimeout bounds the time in which a request must have arrived.
+	ReadTimeout clock.Duration
+	// Queue is the number of requests that may wait for a backend server.
+	Queue int
+}
+
+// OpenPhrase must stand in the settings of a daemon that accepts anyone.
+const OpenPhrase = "anyone may operate this daemon"
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*Settings, []conf.Problem, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, problems := Parse(text)
+	s.resolve(filepath.Dir(path))
+	return s, problems, nil
+}
+
+// resolve makes file names relative to the folder of the settings.
+func (s *Settings) resolve(folder string) {
+	if s.TLS == nil {
+		return
+	}
+	for _, name := range []*string{&s.TLS.Certificate, &s.TLS.Key, &s.TLS.ClientCA} {
+		if *name != "" && !filepath.IsAbs(*name) {
+			*name = filepath.Join(folder, *name)
+		}
+	}
+}
+
+// Parse reads settings and returns every mistake in them.
+func Parse(text []byte) (*Settings, []conf.Problem) {
+	s := &Settings{}
+	doc, problems := jsonc.Parse(text)
+	if doc == nil {
+		return s, problems
+	}
+	o := doc.Object()
+	s.readIdentity(o)
+	s.readGroup(o)
+	s.readAccess(o)
+	s.readLimits(o)
+	o.End()
+	return s, doc.Problems()
+}
+
+func (s *Settings) readIdentity(o *jsonc.Object) {
+	s.Name = o.Text("name", "the daemon's name, unique in the deployment")
+	s.Zone = o.Text("zone", "the availability zone of the VM")
+	s.Region = o.Text("region", "the region of the VM")
+	if n, ok := o.Get("listen"); ok {
+		l := n.Object()
+		s.Listen.Callers = address(l, "callers")
+		s.Listen.Peers = address(l, "peers")
+		s.Listen.Admin = address(l, "admin")
+		l.End()
+	} else {
+		o.Fail(`add "listen" with callers, peers and admin`, "no listen addresses")
+	}
+	s.CloudAddress = o.TextOr("cloud", "")
+}
+
+func address(o *jsonc.Object, name string) string {
+	text := o.Text(name, `an address such as "10.0.0.5:7080"`)
+	if text != "" {
+		checkAddress(o, name, text)
+	}
+	return text
+}
+
+func checkAddress(o *jsonc.Object, name, text string) {
+	host, _, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		n, _ := o.Get(name)
+		n.Fail(`write an IP number with a port, such as "10.0.0.5:7080"`, "%q is not an address", text)
+	}
+}
+
+func (s *Settings) readGroup(o *jsonc.Object) {
+	s.DataFolder = o.TextOr("dataFolder", "")
+	s.Voters = int(o.Number("voters", 3, 1, 7))
+	if s.Voters%2 == 0 {
+		n, _ := o.Get("voters")
+		n.Fail("write 1, 3, 5 or 7", "an even number of voters survives no more losses than one fewer")
+	}
+	s.FirstVoters = o.Texts("firstVoters", "the peers address of a first voter")
+	s.Peers = o.Texts("peers", "the peers address of another daemon")
+	for _, name := range []string{"firstVoters", "peers"} {
+		for _, text := range o.Texts(name, "an address") {
+			checkAddress(o, name, text)
+		}
+	}
+	if len(s.FirstVoters) == 0 && len(s.Peers) == 0 {
+		o.Fail(`add "firstVoters" for a new group or "peers" to join one`, "no other daemon is named")
+	}
+	s.Lease = o.Duration("lease", 3*clock.Second)
+}
+
+func (s *Settings) readAccess(o *jsonc.Object) {
+	s.Open = o.TextOr("openAccess", "") == OpenPhrase
+	if n, ok := o.Get("openAccess"); ok && !s.Open {
+		n.Fail(`remove it, or write "`+OpenPhrase+`"`, "not the phrase that opens a daemon to anyone")
+	}
+	s.PeerToken = o.Text("peerToken", "a secret that all daemons share")
+	if s.PeerToken != "" && len(s.PeerToken) < minTokenLength {
+		n, _ := o.Get("peerToken")
+		n.Fail("write at least 16 characters", "the secret is too short")
+	}
+	s.Operators = principals(o, "operators", "sections")
+	s.Backends = principals(o, "backendServers", "services")
+	if len(s.Operators) == 0 && !s.Open {
+		o.Fail(`add "operators", or "openAccess": "`+OpenPhrase+`"`, "nobody may operate this daemon")
+	}
+	if len(s.Backends) == 0 && !s.Open {
+		o.Fail(`add "backendServers" with a token`, "no backend server may announce itself")
+	}
+	if n, ok := o.Get("tls"); ok {
+		t := n.Object()
+		s.TLS = &TLS{
+			Certificate: t.Text("certificate", "a PEM file"), Key: t.Text("key", "a PEM file"),
+			ClientCA: t.TextOr("clientCA", ""),
+		}
+		t.End()
+	}
+}
+
+// minTokenLength is the least length of a shared secret in characters.
+const minTokenLength = 16
+
+func principals(o *jsonc.Object, field, names string) []Principal {
+	var list []Principal
+	for _, n := range o.List(field) {
+		e := n.Object()
+		p := Principal{
+			Name:        e.Text("name", "a name"),
+			TokenSHA256: e.TextOr("tokenSHA256", ""),
+			CommonName:  e.TextOr("commonName", ""),
+			Names:       e.Texts(names, "a name"),
+		}
+		if p.TokenSHA256 == "" && p.CommonName == "" {
+			e.Fail(`add "tokenSHA256" or "commonName"`, "no credential")
+		}
+		if p.TokenSHA256 != "" && len(p.TokenSHA256) != 64 {
+			e.Fail("write the SHA-256 of the token as 64 hex digits", "tokenSHA256 is no digest")
+		}
+		if len(p.Names) == 0 {
+			e.Fail(`add "`+names+`"; "*" stands for all`, "no %s are allowed", names)
+		}
+		e.End()
+		list = append(list, p)
+	}
+	return list
+}
+
+func (s *Settings) readLimits(o *jsonc.Object) {
+	s.BalancerLag = o.Duration("balancerLag", 5*clock.Second)
+	s.StopTimeout = o.Duration("stopTimeout", 2*clock.Minute)
+	s.Limits = DefaultLimits
+	n, ok := o.Get("limits")
+	if !ok {
+		return
+	}
+	l := n.Object()
+	s.Limits.BodyBytes = l.Number("bodyBytes", DefaultLimits.BodyBytes, 1024, 64<<20)
+	s.Limits.HeaderBytes = int(l.Number("headerBytes", int64(DefaultLimits.HeaderBytes), 1024, 1<<20))
+	s.Limits.ReadTimeout = l.Duration("readTimeout", DefaultLimits.ReadTimeout)
+	s.Limits.Queue = int(l.Number("queue", int64(DefaultLimits.Queue), 1, 1_000_000))
+	l.End()
+}
+
+// DefaultLimits are in force where settings are silent.
+var DefaultLimits = Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, ReadTimeout: 10 * clock.Second, Queue: 1024}
--- /dev/null
+++ b/internal/state/once.go
@@ -0,0 +1,112 @@
+package state
+
+import (
+	"bytes"
+
+	"swiftbeam/pkg/clock"
+)
+
+// OnceOutcome tells how far a call that must not be repeated has come.
+type OnceOutcome uint8
+
+// Outcomes of such a call.
+const (
+	Pending  OnceOutcome = iota // its holder may be running it
+	Answered                    // the backend server answered
+	NotRun                      // it never left its holder; the key may be used again
+	Unsure                      // it left its holder and no answer came
+)
+
+// OnceKey names a call by the key that its caller chose.
+type OnceKey struct {
+	Account string
+	Route   string
+	Key     string
+}
+
+// OnceRecord is the journal's record of one call.
+type OnceRecord struct {
+	OnceKey
+	Digest      []byte
+	Request     string
+	Holder      string
+	Outcome     OnceOutcome
+	Status      int
+	ContentType string
+	Body        []byte
+	At          clock.Instant
+}
+
+// OnceBegin asks for the right to run a call. The daemon that proposed it gets the right only
+// when the answer is Done, and only until the deadline that it set for itself before proposing.
+type OnceBegin struct {
+	OnceKey
+	Digest  []byte
+	Request string
+	Holder  string
+}
+
+// OnceEnd records the outcome of the call that Request began.
+type OnceEnd struct {
+	OnceKey
+	Request     string
+	Outcome     OnceOutcome
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+func (OnceBegin) command() {}
+func (OnceEnd) command()   {}
+
+func (r *OnceRecord) window() clock.Duration {
+	if r.Outcome == Answered || r.Outcome == NotRun {
+		return OnceWindow
+	}
+	return UnknownWindow
+}
+
+func (s *State) beginOnce(b OnceBegin) Result {
+	old := s.Once[b.OnceKey]
+	switch {
+	case old == nil && len(s.Once) >= MaxOnceRecords:
+		return Result{Code: Full}
+	case old == nil:
+	case !bytes.Equal(old.Digest, b.Digest):
+		return Result{Code: KeyReused, Once: old.copy()}
+	case old.Request == b.Request && old.Holder == b.Holder && old.Outcome == Pending:
+		return Result{}
+	case old.Outcome != NotRun || old.Request == b.Request:
+		return Result{Code: Existing, Once: old.copy()}
+	}
+	s.Once[b.OnceKey] = &OnceRecord{
+		OnceKey: b.OnceKey, Digest: b.Digest, Request: b.Request, Holder: b.Holder, At: s.Now,
+	}
+	return Result{}
+}
+
+// endOnce records an outcome. An answer replaces Unsure; nothing replaces an answer.
+func (s *State) endOnce(e OnceEnd) Result {
+	r := s.Once[e.OnceKey]
+	if r == nil {
+		return Result{Code: UnknownThing}
+	}
+	if r.Request != e.Request {
+		return Result{Code: NotHolder, Once: r.copy()}
+	}
+	final := r.Outcome == Answered || r.Outcome == NotRun
+	if final || r.Outcome == Unsure && e.Outcome != Answered {
+		return Result{Code: Existing, Once: r.copy()}
+	}
+	r.Outcome = e.Outcome
+	r.Status = e.Status
+	r.ContentType = e.ContentType
+	r.Body = e.Body
+	r.At = s.Now
+	return Result{Once: r.copy()}
+}
+
+func (r *OnceRecord) copy() *OnceRecord {
+	c := *r
+	return &c
+}
--- /dev/null
+++ b/internal/wire/gossip.go
@@ -0,0 +1,38 @@
+package wire
+
+import (
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+	"swiftbeam/pkg/fleet"
+)
+
+// BackendToPB maps a backend server. Instants travel as ages, so that clocks need not agree.
+func BackendToPB(now clock.Instant, b *fleet.Backend) *peerpb.Backend {
+	m := &peerpb.Backend{
+		Service: b.Service, Version: b.Version, Address: b.Address, Zone: b.Zone, Kind: uint32(b.Kind),
+		Incarnation: b.Incarnation, Sequence: b.Sequence, State: uint32(b.State),
+		Running: uint32(b.Running), Waiting: uint32(b.Waiting), Slots: uint32(b.Slots),
+		Age: int64(now.Sub(b.HeardAt)), Prefixes: b.Prefixes, ChecksFence: b.ChecksFence,
+		MachineClass: b.MachineClass, Reclaimable: b.Reclaimable,
+	}
+	if b.ReclaimAt != 0 {
+		m.ReclaimIn = max(int64(b.ReclaimAt.Sub(now)), 1)
+	}
+	return m
+}
+
+// BackendFromPB maps a received backend server.
+func BackendFromPB(now clock.Instant, m *peerpb.Backend) fleet.Backend {
+	b := fleet.Backend{
+		Service: m.GetService(), Version: m.GetVersion(), Address: m.GetAddress(), Zone: m.GetZone(),
+		Kind: fleet.BackendKind(m.GetKind()), Incarnation: m.GetIncarnation(), Sequence: m.GetSequence(),
+		State:   min(fleet.BackendState(m.GetState()), fleet.Reclaimed),
+		Running: int(m.GetRunning()), Waiting: int(m.GetWaiting()), Slots: int(m.GetSlots()),
+		HeardAt: now.Add(-clock.Duration(max(m.GetAge(), 0))), ChecksFence: m.GetChecksFence(),
+		MachineClass: m.GetMachineClass(), Reclaimable: m.GetReclaimable(), Prefixes: m.GetPrefixes(),
+	}
+	if m.GetReclaimIn() != 0 {
+		b.ReclaimAt = now.Add(clock.Duration(m.GetReclaimIn()))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/wire/held.go
@@ -0,0 +1,27 @@
+package wire
+
+import (
+	"swiftbeam/internal/stream"
+	"swiftbeam/internal/wire/peerpb"
+)
+
+// PieceToPB maps a piece of a record.
+func PieceToPB(p stream.Piece) *peerpb.HeldRequest {
+	return &peerpb.HeldRequest{
+		Id: p.ID, Account: p.Account, Service: p.Service, Route: p.Route, Body: p.Body, Chat: p.Chat,
+		Version: p.Version, Holder: p.Holder, Epoch: p.Epoch, First: uint32(p.First), Tokens: p.Tokens,
+		Done: p.Done, Finish: p.Finish, Failure: p.Failure,
+	}
+}
+
+// PieceFromPB maps a received piece.
+func PieceFromPB(m *peerpb.HeldRequest) stream.Piece {
+	return stream.Piece{
+		Request: stream.Request{
+			ID: m.GetId(), Account: m.GetAccount(), Service: m.GetService(), Route: m.GetRoute(),
+			Body: m.GetBody(), Chat: m.GetChat(),
+		},
+		Version: m.GetVersion(), Holder: m.GetHolder(), Epoch: m.GetEpoch(), First: int(m.GetFirst()),
+		Tokens: m.GetTokens(), Done: m.GetDone(), Finish: m.GetFinish(), Failure: m.GetFailure(),
+	}
+}
--- /dev/null
+++ b/internal/wire/state.go
@@ -0,0 +1,262 @@
+package wire
+
+import (
+	"cmp"
+	"slices"
+
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+// EncodeCommand returns the durable form of a command.
+func EncodeCommand(c state.Command) []byte {
+	m := &peerpb.Command{At: int64(c.At)}
+	switch b := c.Body.(type) {
+	case state.PutSection:
+		m.Body = &peerpb.Command_PutSection{PutSection: &peerpb.PutSection{
+			Operation: b.Operation, Section: b.Section, Owner: b.Owner, Base: b.Base, Body: b.Text,
+		}}
+	case state.OnceBegin:
+		m.Body = &peerpb.Command_OnceBegin{OnceBegin: &peerpb.OnceBegin{
+			Account: b.Account, Route: b.Route, Key: b.Key, Digest: b.Digest, Request: b.Request, Holder: b.Holder,
+		}}
+	case state.OnceEnd:
+		m.Body = &peerpb.Command_OnceEnd{OnceEnd: &peerpb.OnceEnd{
+			Account: b.Account, Route: b.Route, Key: b.Key, Request: b.Request,
+			Outcome: uint32(b.Outcome), Status: uint32(b.Status), ContentType: b.ContentType, Body: b.Body,
+		}}
+	case state.MoveStep:
+		m.Body = &peerpb.Command_MoveStep{MoveStep: &peerpb.MoveStep{
+			Service: b.Service, Version: b.Version, Revision: b.Revision, Stage: uint32(b.Stage),
+			Share: uint32(b.Share), Reason: uint32(b.Reason), Evidence: b.Evidence,
+		}}
+	case state.TakeOrder:
+		m.Body = &peerpb.Command_TakeOrder{TakeOrder: &peerpb.TakeOrder{
+			Operation: b.Operation, Target: b.Target, Kind: uint32(b.Kind), Argument: b.Argument, Holder: b.Holder,
+		}}
+	case state.EndOrder:
+		m.Body = &peerpb.Command_EndOrder{EndOrder: &peerpb.EndOrder{
+			Operation: b.Operation, Fence: b.Fence, Done: b.Done,
+		}}
+	case state.Barrier:
+		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
+	}
+	return encode(m)
+}
+
+// DecodeCommand reads what EncodeCommand wrote.
+func DecodeCommand(data []byte) (state.Command, error) {
+	var m peerpb.Command
+	if err := decode(data, &m); err != nil {
+		return state.Command{}, err
+	}
+	c := state.Command{At: clock.Instant(m.GetAt())}
+	switch b := m.GetBody().(type) {
+	case *peerpb.Command_PutSection:
+		p := b.PutSection
+		c.Body = state.PutSection{
+			Operation: p.GetOperation(), Section: p.GetSection(), Owner: p.GetOwner(), Base: p.GetBase(), Text: p.GetBody(),
+		}
+	case *peerpb.Command_OnceBegin:
+		p := b.OnceBegin
+		c.Body = state.OnceBegin{
+			OnceKey: state.OnceKey{Account: p.GetAccount(), Route: p.GetRoute(), Key: p.GetKey()},
+			Digest:  p.GetDigest(), Request: p.GetRequest(), Holder: p.GetHolder(),
+		}
+	case *peerpb.Command_OnceEnd:
+		p := b.OnceEnd
+		c.Body = state.OnceEnd{
+			OnceKey: state.OnceKey{Account: p.GetAccount(), Route: p.GetRoute(), Key: p.GetKey()},
+			Request: p.GetRequest(), Outcome: state.OnceOutcome(p.GetOutcome()), Status: int(p.GetStatus()),
+			ContentType: p.GetContentType(), Body: p.GetBody(),
+		}
+	case *peerpb.Command_MoveStep:
+		p := b.MoveStep
+		c.Body = state.MoveStep{
+			Service: p.GetService(), Version: p.GetVersion(), Revision: p.GetRevision(), Stage: state.Stage(p.GetStage()),
+			Share: int(p.GetShare()), Reason: state.Reason(p.GetReason()), Evidence: p.GetEvidence(),
+		}
+	case *peerpb.Command_TakeOrder:
+		p := b.TakeOrder
+		c.Body = state.TakeOrder{
+			Operation: p.GetOperation(), Target: p.GetTarget(), Kind: state.OrderKind(p.GetKind()),
+			Argument: p.GetArgument(), Holder: p.GetHolder(),
+		}
+	case *peerpb.Command_EndOrder:
+		p := b.EndOrder
+		c.Body = state.EndOrder{Operation: p.GetOperation(), Fence: p.GetFence(), Done: p.GetDone()}
+	case *peerpb.Command_Barrier:
+		c.Body = state.Barrier{}
+	default:
+		return c, malformed("command without a body")
+	}
+	return c, nil
+}
+
+// EncodeResult returns the form of a result that travels between daemons.
+func EncodeResult(r state.Result) []byte { return encode(resultToPB(r)) }
+
+// DecodeResult reads what EncodeResult wrote.
+func DecodeResult(data []byte) (state.Result, error) {
+	var m peerpb.Result
+	if err := decode(data, &m); err != nil {
+		return state.Result{}, err
+	}
+	return resultFromPB(&m), nil
+}
+
+func resultToPB(r state.Result) *peerpb.Result {
+	m := &peerpb.Result{Code: uint32(r.Code), Detail: r.Detail, Version: r.Version, Fence: r.Fence}
+	if r.Once != nil {
+		m.Once = onceToPB(r.Once)
+	}
+	return m
+}
+
+func resultFromPB(m *peerpb.Result) state.Result {
+	r := state.Result{Code: state.Code(m.GetCode()), Detail: m.GetDetail(), Version: m.GetVersion(), Fence: m.GetFence()}
+	if m.GetOnce() != nil {
+		r.Once = onceFromPB(m.GetOnce())
+	}
+	return r
+}
+
+func onceToPB(r *state.OnceRecord) *peerpb.OnceRecord {
+	return &peerpb.OnceRecord{
+		Account: r.Account, Route: r.Route, Key: r.Key, Digest: r.Digest, Request: r.Request, Holder: r.Holder,
+		Outcome: uint32(r.Outcome), Status: uint32(r.Status), ContentType: r.ContentType, Body: r.Body, At: int64(r.At),
+	}
+}
+
+func onceFromPB(m *peerpb.OnceRecord) *state.OnceRecord {
+	return &state.OnceRecord{
+		OnceKey: state.OnceKey{Account: m.GetAccount(), Route: m.GetRoute(), Key: m.GetKey()},
+		Digest:  m.GetDigest(), Request: m.GetRequest(), Holder: m.GetHolder(),
+		Outcome: state.OnceOutcome(m.GetOutcome()), Status: int(m.GetStatus()),
+		ContentType: m.GetContentType(), Body: m.GetBody(), At: clock.Instant(m.GetAt()),
+	}
+}
+
+// EncodeState returns the whole state as the content of a snapshot. Equal states give equal
+// bytes.
+func EncodeState(s *state.State) []byte {
+	m := &peerpb.StateImage{
+		Applied: s.Applied, Version: s.Version, VersionAt: s.VersionAt, Fence: s.Fence, Now: int64(s.Now), SweptAt: int64(s.SweptAt),
+	}
+	for _, section := range s.Sections {
+		m.Sections = append(m.Sections, sectionToPB(section))
+	}
+	for _, o := range s.Operations {
+		m.Operations = append(m.Operations, &peerpb.Operation{Id: o.ID, Result: resultToPB(o.Result), At: int64(o.At)})
+	}
+	for _, r := range s.Once {
+		m.Once = append(m.Once, onceToPB(r))
+	}
+	for _, v := range s.Moves {
+		m.Moves = append(m.Moves, moveToPB(v))
+	}
+	for _, o := range s.Orders {
+		m.Orders = append(m.Orders, orderToPB(o))
+	}
+	sortImage(m)
+	return encode(m)
+}
+
+func sortImage(m *peerpb.StateImage) {
+	sortBy(m.Sections, (*peerpb.Section).GetName)
+	sortBy(m.Operations, (*peerpb.Operation).GetId)
+	sortBy(m.Moves, (*peerpb.Move).GetService)
+	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
+	slices.SortFunc(m.Once, func(a, b *peerpb.OnceRecord) int {
+		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Key, b.Key))
+	})
+}
+
+func sortBy[T any](list []T, key func(T) string) {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+}
+
+// DecodeState reads what EncodeState wrote.
+func DecodeState(data []byte) (*state.State, error) {
+	var m peerpb.StateImage
+	if err := decode(data, &m); err != nil {
+		return nil, err
+	}
+	s := &state.State{}
+	s.Rebuild()
+	s.Applied, s.Fence = m.GetApplied(), m.GetFence()
+	s.Version, s.VersionAt = m.GetVersion(), m.GetVersionAt()
+	s.Now, s.SweptAt = clock.Instant(m.GetNow()), clock.Instant(m.GetSweptAt())
+	for _, section := range m.GetSections() {
+		s.Sections[section.GetName()] = sectionFromPB(section)
+	}
+	for _, o := range m.GetOperations() {
+		s.Operations[o.GetId()] = state.Operation{ID: o.GetId(), Result: resultFromPB(o.GetResult()), At: clock.Instant(o.GetAt())}
+	}
+	for _, r := range m.GetOnce() {
+		record := onceFromPB(r)
+		s.Once[record.OnceKey] = record
+	}
+	for _, v := range m.GetMoves() {
+		s.Moves[v.GetService()] = moveFromPB(v)
+	}
+	for _, o := range m.GetOrders() {
+		s.Orders[o.GetOperation()] = orderFromPB(o)
+	}
+	s.Rebuild()
+	return s, nil
+}
+
+func sectionToPB(s *state.Section) *peerpb.Section {
+	m := &peerpb.Section{Name: s.Name}
+	for _, v := range s.History {
+		m.History = append(m.History, &peerpb.SectionVersion{
+			Version: v.Version, Body: v.Text, Operation: v.Operation, Owner: v.Owner, At: int64(v.At),
+		})
+	}
+	return m
+}
+
+func sectionFromPB(m *peerpb.Section) *state.Section {
+	s := &state.Section{Name: m.GetName()}
+	for _, v := range m.GetHistory() {
+		s.History = append(s.History, state.SectionVersion{
+			Version: v.GetVersion(), Text: v.GetBody(), Operation: v.GetOperation(), Owner: v.GetOwner(), At: clock.Instant(v.GetAt()),
+		})
+	}
+	return s
+}
+
+func moveToPB(v *state.Move) *peerpb.Move {
+	return &peerpb.Move{
+		Service: v.Service, From: v.From, To: v.To, Started: int64(v.Started), FinishBy: int64(v.FinishBy),
+		Revision: v.Revision, Stage: uint32(v.Stage), Share: uint32(v.Share), Reason: uint32(v.Reason),
+		Evidence: v.Evidence, StageAt: int64(v.StageAt), Trial: uint32(v.Trial),
+	}
+}
+
+func moveFromPB(m *peerpb.Move) *state.Move {
+	return &state.Move{
+		Service: m.GetService(), From: m.GetFrom(), To: m.GetTo(),
+		Started: clock.Instant(m.GetStarted()), FinishBy: clock.Instant(m.GetFinishBy()),
+		Revision: m.GetRevision(), Stage: state.Stage(m.GetStage()), Share: int(m.GetShare()),
+		Reason: state.Reason(m.GetReason()), Evidence: m.GetEvidence(),
+		StageAt: clock.Instant(m.GetStageAt()), Trial: int(m.GetTrial()),
+	}
+}
+
+func orderToPB(o *state.Order) *peerpb.OrderRecord {
+	return &peerpb.OrderRecord{
+		Operation: o.Operation, Target: o.Target, Kind: uint32(o.Kind), Argument: o.Argument, Holder: o.Holder,
+		Fence: o.Fence, Ended: o.Ended, Done: o.Done, At: int64(o.At),
+	}
+}
+
+func orderFromPB(m *peerpb.OrderRecord) *state.Order {
+	return &state.Order{
+		Operation: m.GetOperation(), Target: m.GetTarget(), Kind: state.OrderKind(m.GetKind()),
+		Argument: m.GetArgument(), Holder: m.GetHolder(), Fence: m.GetFence(),
+		Ended: m.GetEnded(), Done: m.GetDone(), At: clock.Instant(m.GetAt()),
+	}
+}
