--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"hash/fnv"
 	"slices"
 
 	"swiftbeam/pkg/clock"
@@ -42,11 +43,19 @@
 // New returns a member with an empty log. It stays a follower until a leader tells it of the
 // members or until Load gives it some.
 func New(s Settings, now clock.Instant) *Core {
-	c := &Core{Settings: s, random: s.Seed*2 + 1, heardAt: now}
+	c := &Core{Settings: s, random: startRandom(s), heardAt: now}
 	c.resetElection(now)
 	return c
 }
 
+// startRandom mixes the seed with the member's ID, so that members with equal seeds do not
+// campaign in step. The result is not zero.
+func startRandom(s Settings) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Self))
+	return (h.Sum64() ^ s.Seed) | 1
+}
+
 // Load returns a member with the state read from disk. Entries follow snap without a gap.
 func Load(s Settings, now clock.Instant, hard HardState, snap Snapshot, entries []Entry) *Core {
 	c := New(s, now)
