--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -57,7 +57,7 @@
 		Request: id, Service: service.Name, Method: q.Method, Path: q.URL.RequestURI(),
 		Type: q.Header.Get("Content-Type"), Body: body, Timeout: route.Timeout,
 		Version: func() string {
-			version, _ := e.Versions.Pick(service.Name, id)
+			version, _ := e.Versions.Pick(service.Name, route.Name, id)
 			return version
 		},
 	}
--- a/internal/gauge/engine.go
+++ b/internal/gauge/engine.go
@@ -92,7 +92,6 @@
 	gaps      int
 	engine    *engine
 	server    *route.Server
-	hits      int
 	moves     int
 	restored  bool
 	recompute int
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "swiftbeam/internal/seeds"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
 )
--- a/internal/moves/ledger.go
+++ b/internal/moves/ledger.go
@@ -239,13 +239,35 @@
 // Find returns the first fault that the evidence shows, or nil.
 func (l *Ledger) Find() *Finding {
 	for _, length := range windows {
-		if f := l.findIn(l.window(length)); f != nil {
+		if f := l.findIn(l.window(length), l.Method); f != nil {
 			return f
 		}
 	}
 	return nil
 }
 
+// Suspect returns the first evidence that a weaker test finds, to pause a version on.
+func (l *Ledger) Suspect() *Finding {
+	return l.findIn(l.window(suspectWindow), Suspicion)
+}
+
+// suspectWindow is the length of the evidence that raises suspicion, in buckets.
+const suspectWindow = 10
+
+// Faults counts the faulty answers of the new version.
+func (l *Ledger) Faults() uint64 {
+	var sum uint64
+	for s, t := range l.total {
+		if s.Version != l.To {
+			continue
+		}
+		for _, hits := range t.Hits {
+			sum += hits
+		}
+	}
+	return sum
+}
+
 // window returns the tallies of the newest buckets, or all for length zero.
 func (l *Ledger) window(length int) map[Scope]*Tally {
 	if length == 0 {
@@ -261,7 +283,7 @@
 }
 
 // findIn tests each route as a whole and each client account on it.
-func (l *Ledger) findIn(tallies map[Scope]*Tally) *Finding {
+func (l *Ledger) findIn(tallies map[Scope]*Tally, method Method) *Finding {
 	whole := make(map[Scope]*Tally, len(tallies))
 	for s, t := range tallies {
 		addTo(whole, s, *t)
@@ -276,7 +298,7 @@
 	}
 	slices.SortFunc(l.scratch, compareScopes)
 	for _, s := range l.scratch {
-		if f := l.test(s, whole); f != nil {
+		if f := l.test(s, whole, method); f != nil {
 			return f
 		}
 	}
@@ -284,12 +306,12 @@
 }
 
 // test compares a scope of the new version with the same scope of the old one.
-func (l *Ledger) test(s Scope, whole map[Scope]*Tally) *Finding {
+func (l *Ledger) test(s Scope, whole map[Scope]*Tally, method Method) *Finding {
 	fresh := whole[s]
 	s.Version = l.From
 	old := l.old(s)
 	for kind := range kinds {
-		if l.Method.Worse(old.count(kind), fresh.count(kind)) {
+		if method.Worse(old.count(kind), fresh.count(kind)) {
 			return &Finding{Reason: reasons[kind], Route: s.Route, Account: s.Account, Old: old.count(kind), New: fresh.count(kind)}
 		}
 	}
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -53,8 +53,16 @@
 	Routes   []RouteSeen
 	// Fault is the strongest evidence against the new version, if any passed the test.
 	Fault *Finding
+	// Suspicion is evidence against the new version that is not yet proof.
+	Suspicion *Finding
+	// Faults counts the faulty answers of the new version.
+	Faults uint64
 }
 
+// HoldTime is the pause in new work for a version after a fault that is not yet proof. After it
+// the version gets its trial share again, as a probe.
+const HoldTime = clock.Second
+
 // Decide returns the next step of a move, or false when it stays as it is.
 func Decide(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
 	if m.Stage.Ended() {
@@ -66,6 +74,9 @@
 	if !now.Before(m.FinishBy) {
 		return step(m, state.RolledBack, 0, state.TooLate, progress(m, in)), true
 	}
+	if s, held := hold(now, m, in); held {
+		return s, s.Revision != 0
+	}
 	switch m.Stage {
 	case state.Waiting:
 		return leaveWaiting(m, in)
@@ -77,10 +88,31 @@
 	return leaveWatch(now, m, in)
 }
 
+// hold pauses the new version when new faults raise suspicion, and ends the pause. It reports
+// true while the move is held; the step is empty when nothing changes.
+func hold(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
+	paused := m.Share == 0 && m.Stage != state.Waiting
+	switch {
+	case paused && now.Sub(m.ShareAt) < HoldTime:
+		return state.MoveStep{}, true
+	case paused:
+		s := step(m, state.Trial, trialShare(m), state.Planned, "probe after a pause")
+		s.Faults = in.Faults
+		return s, true
+	case in.Suspicion == nil || in.Faults <= m.Faults || m.Stage == state.Waiting:
+		return state.MoveStep{}, false
+	}
+	s := step(m, state.Trial, 0, in.Suspicion.Reason, in.Suspicion.Evidence())
+	s.Faults = in.Faults
+	return s, true
+}
+
+func trialShare(m *state.Move) int { return m.Trial * state.FullShare / 100 }
+
 func step(m *state.Move, stage state.Stage, share int, why state.Reason, evidence string) state.MoveStep {
 	return state.MoveStep{
 		Service: m.Service, Version: m.To, Revision: m.Revision,
-		Stage: stage, Share: share, Reason: why, Evidence: evidence,
+		Stage: stage, Share: share, Reason: why, Evidence: evidence, Faults: m.Faults,
 	}
 }
 
@@ -96,12 +128,11 @@
 	if in.ReadyNew == 0 {
 		return state.MoveStep{}, false
 	}
-	share := m.Trial * state.FullShare / 100
-	return step(m, state.Trial, share, state.Planned, progress(m, in)), true
+	return step(m, state.Trial, trialShare(m), state.Planned, progress(m, in)), true
 }
 
 func leaveTrial(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
-	if now.Before(due(m, trialPart)) || !routesSeen(now, m, in, MinRouteRequests) {
+	if now.Before(due(m, trialPart)) || !settled(now, m) || !routesSeen(now, m, in, MinRouteRequests) {
 		return state.MoveStep{}, false
 	}
 	return step(m, state.Ramp, allowed(rampShares[0], in), state.Planned, progress(m, in)), true
@@ -116,7 +147,7 @@
 		}
 	}
 	part := trialPart + rampPart*float64(next)/float64(len(rampShares)-1)
-	if now.Before(due(m, part)) || !routesSeen(now, m, in, 1) {
+	if now.Before(due(m, part)) || !settled(now, m) || !routesSeen(now, m, in, 1) {
 		return state.MoveStep{}, false
 	}
 	share := allowed(rampShares[next], in)
@@ -153,6 +184,15 @@
 	return m.Started.Add(clock.Duration(part * float64(whole)))
 }
 
+// settlePart is the part of the move's time that a share stays before it is raised.
+const settlePart = 0.015
+
+// settled reports whether the present share has been in force for long enough to be raised.
+func settled(now clock.Instant, m *state.Move) bool {
+	whole := m.FinishBy.Sub(m.Started)
+	return now.Sub(m.ShareAt) >= clock.Duration(settlePart*float64(whole))
+}
+
 // lowTrafficPart is the part of the move's time after which a route with less traffic than
 // wanted no longer holds the move back.
 const lowTrafficPart = 0.6
@@ -178,19 +218,6 @@
 	if share >= state.FullShare || readyNew == 0 {
 		return readyNew
 	}
-	total := float64(readyOld) + 1
-	wanted := int(math.Ceil(total * float64(share) / state.FullShare))
+	wanted := int(math.Ceil(float64(readyOld) * float64(share) / state.FullShare))
 	return min(max(wanted, 1), readyNew)
 }
-
-// Pick returns the version for a request. Draw is a random number that stays the same for the
-// same request; braked stops new work for the version that is being moved to.
-func Pick(settled string, m *state.Move, draw uint64, braked bool) string {
-	if m == nil || m.Stage.Ended() || m.Stage == state.Waiting || braked {
-		return settled
-	}
-	if int(draw%state.FullShare) < m.Share {
-		return m.To
-	}
-	return m.From
-}
--- /dev/null
+++ b/internal/moves/moves_test.go
@@ -0,0 +1,124 @@
+package moves
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "swiftbeam/internal/seeds"
+	"swiftbeam/internal/state"
+	"swiftbeam/pkg/clock"
+)
+
+// TestWorse covers counts far from the old rate, where a careless formula loses all digits.
+func TestWorse(t *testing.T) {
+	tests := []struct {
+		name       string
+		old, fresh Count
+		want       bool
+	}{
+		{"much better than a faulty old version", Count{10276, 505}, Count{1050, 4}, false},
+		{"equal on many requests", Count{100000, 1000}, Count{5000, 50}, false},
+		{"every request fails", Count{1000, 2}, Count{4, 4}, true},
+		{"no request fails", Count{1000, 2}, Count{400, 0}, false},
+		{"rare errors", Count{20000, 400}, Count{600, 60}, true},
+		{"one early failure", Count{1000, 2}, Count{1, 1}, false},
+		{"nothing known of the old version", Count{}, Count{1, 1}, false},
+	}
+	for _, test := range tests {
+		if got := DefaultTest.Worse(test.old, test.fresh); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
+// TestFalseAlarmRate reads the test after every request of equal versions and counts alarms.
+// The stated bound holds for all tests of a move together; here one of them runs.
+func TestFalseAlarmRate(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	const moves, requests, rate = 2000, 500, 0.02
+	alarms := 0
+	for range moves {
+		old, fresh := Count{Requests: 5000, Hits: 100}, Count{}
+		for range requests {
+			fresh.Requests++
+			if random.Float64() < rate {
+				fresh.Hits++
+			}
+			if DefaultTest.Worse(old, fresh) {
+				alarms++
+				break
+			}
+		}
+	}
+	if got, want := alarms, int(moves*DefaultTest.FalseAlarm); got > want {
+		t.Errorf("got %d false alarms in %d moves, want at most %d", got, moves, want)
+	}
+}
+
+// TestStatefulMove drives a move by random evidence and checks its invariants after each step.
+func TestStatefulMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &state.Move{Service: "s", From: "v1", To: "v2", FinishBy: 2_400_000, Trial: 2, Revision: 1}
+		now := clock.Instant(0)
+		in := Inputs{ReadyOld: 10, Routes: []RouteSeen{{Route: "a"}, {Route: "b"}}}
+		pacer := &Pacer{}
+		seen, given := map[string]int{}, map[string]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"time":     func(t *rapid.T) { now = now.Add(clock.Duration(rapid.IntRange(1, 90_000).Draw(t, "time"))) },
+			"replicas": func(t *rapid.T) { in.ReadyNew = rapid.IntRange(0, 10).Draw(t, "ready") },
+			"seen": func(t *rapid.T) {
+				r := &in.Routes[rapid.IntRange(0, 1).Draw(t, "route")]
+				r.New += uint64(rapid.IntRange(0, 40).Draw(t, "new"))
+				r.Old += uint64(rapid.IntRange(0, 400).Draw(t, "old"))
+			},
+			"fault":   func(*rapid.T) { in.Fault = &Finding{Reason: state.MoreErrors} },
+			"suspect": func(*rapid.T) { in.Suspicion = &Finding{Reason: state.MoreErrors}; in.Faults++ },
+			"clear":   func(*rapid.T) { in.Suspicion = nil },
+			"request": func(t *rapid.T) {
+				a := Ask{
+					Now: now, Settled: "v1", Route: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"), ReadyOld: 10,
+					Draw: rapid.Uint64().Draw(t, "draw"), Braked: rapid.Bool().Draw(t, "braked"),
+				}
+				got := pacer.Pick(m, a)
+				seen[a.Route]++
+				if got == "v2" {
+					given[a.Route]++
+				}
+				if got == "v2" && (a.Braked || m.Share == 0 || m.Stage.Ended() || m.Stage == state.Waiting) {
+					t.Fatalf("a request went to the new version in stage %v at share %d, braked %v", m.Stage, m.Share, a.Braked)
+				}
+				if m.Stage == state.Trial && got == "v2" && given[a.Route]*100 > seen[a.Route]*m.Trial {
+					t.Fatalf("route %s: %d of %d requests went to the version on trial, want at most %d%%", a.Route, given[a.Route], seen[a.Route], m.Trial)
+				}
+			},
+			"decide": func(t *rapid.T) { decideOnce(t, now, m, in) },
+			"":       func(*rapid.T) {},
+		})
+	})
+}
+
+func decideOnce(t *rapid.T, now clock.Instant, m *state.Move, in Inputs) {
+	before := *m
+	step, ok := Decide(now, m, in)
+	if !ok {
+		return
+	}
+	if before.Stage.Ended() {
+		t.Fatalf("a step left the final stage %v", before.Stage)
+	}
+	state.ApplyStep(now, m, step)
+	switch {
+	case in.Fault != nil && before.Stage != state.Waiting && m.Stage != state.RolledBack:
+		t.Fatalf("got stage %v with a proven fault, want RolledBack", m.Stage)
+	case m.Stage == state.Finished && (!now.Before(m.FinishBy) || in.ReadyNew == 0):
+		t.Fatalf("finished at %v with %d replicas, deadline %v", now, in.ReadyNew, m.FinishBy)
+	case m.Share > before.Share && before.Stage == state.Trial && m.Stage == state.Ramp:
+		for _, r := range in.Routes {
+			if r.New < MinRouteRequests && r.New+r.Old > 0 && now.Before(due(m, lowTrafficPart)) {
+				t.Fatalf("trial passed with %d requests on route %s", r.New, r.Route)
+			}
+		}
+	}
+}
--- a/internal/moves/test.go
+++ b/internal/moves/test.go
@@ -33,6 +33,9 @@
 // DefaultTest bounds the false alarms of a whole move to one in a thousand.
 var DefaultTest = Test{FalseAlarm: 1e-3, Margin: 0.01, Tests: 60}
 
+// Suspicion is the weaker test on which a version is paused; a false alarm only delays a move.
+var Suspicion = Test{FalseAlarm: 0.05, Margin: 0.01, Tests: 5}
+
 // priorRequests and priorHits keep the old rate from being taken as zero on little evidence.
 const (
 	priorRequests = 20
@@ -64,7 +67,9 @@
 // divided by their likelihood at base.
 func logRatio(base float64, c Count) float64 {
 	x, n := float64(c.Hits), float64(c.Requests)
-	above := 1 - mathext.RegIncBeta(x+1, n-x+1, base)
+	// The mass above base, as the mass below its complement: 1 minus the mass below base would
+	// lose all digits for counts far below base.
+	above := mathext.RegIncBeta(n-x+1, x+1, 1-base)
 	if above <= 0 {
 		return math.Inf(-1)
 	}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -17,6 +17,7 @@
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/roster"
+	_ "swiftbeam/internal/seeds"
 	"swiftbeam/internal/state"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -49,6 +49,7 @@
 
 	mu     sync.Mutex
 	judge  moves.Judge
+	pacers map[string]*moves.Pacer
 	local  map[string]*evidence
 	global map[string]*evidence
 	// totals are the cumulative tallies of this daemon, reported to the leader.
@@ -67,6 +68,7 @@
 // Start begins to report and to decide.
 func (p *Pilot) Start(ctx context.Context, g *kernel.Group) error {
 	p.mu.Lock()
+	p.pacers = make(map[string]*moves.Pacer)
 	p.local = make(map[string]*evidence)
 	p.global = make(map[string]*evidence)
 	p.totals = make(map[moves.Scope]*moves.Tally)
@@ -95,19 +97,30 @@
 	return found
 }
 
-// Pick returns the version for a request and to how many of its servers it goes.
-func (p *Pilot) Pick(service, id string) (string, int) {
+// Pick returns the version for a request and to how many of its servers it goes, zero for all.
+func (p *Pilot) Pick(service, route, id string) (string, int) {
 	settled := p.Settled(service)
 	m := p.move(service)
-	version := moves.Pick(settled, m, draw(id), m != nil && p.Avoids(service, m.To))
-	if m == nil || version == settled || m.Stage != state.Trial {
-		return version, 0
+	if m == nil {
+		return settled, 0
 	}
 	ready := p.Roster.Ready(service, m.To)
-	if ready == 0 {
-		return settled, 0
+	ask := moves.Ask{
+		Now: p.Clock.Now(), Settled: settled, Route: route, Draw: draw(id),
+		ReadyOld: p.Roster.Ready(service, m.From), Braked: ready == 0 || p.Avoids(service, m.To),
+	}
+	p.mu.Lock()
+	pacer := p.pacers[service]
+	if pacer == nil {
+		pacer = &moves.Pacer{}
+		p.pacers[service] = pacer
+	}
+	version := pacer.Pick(m, ask)
+	p.mu.Unlock()
+	if version != m.To || m.Stage != state.Trial {
+		return version, 0
 	}
-	return version, moves.Concentrate(m.Share, p.Roster.Ready(service, m.From), ready)
+	return version, moves.Concentrate(moves.Burst(ask.Now, m, ask.ReadyOld), ask.ReadyOld, ready)
 }
 
 // draw maps a request to a number that is the same at all daemons.
@@ -279,6 +292,7 @@
 		step, ok := moves.Decide(now, m, moves.Inputs{
 			ReadyOld: p.Roster.Ready(m.Service, m.From), ReadyNew: p.Roster.Ready(m.Service, m.To),
 			Routes: e.ledger.Seen(routes[m.Service]), Fault: e.fault,
+			Suspicion: e.ledger.Suspect(), Faults: e.ledger.Faults(),
 		})
 		if ok {
 			steps = append(steps, step)
--- a/internal/quorum/world_test.go
+++ b/internal/quorum/world_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "swiftbeam/internal/seeds"
 	"swiftbeam/pkg/clock"
 )
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,7 @@
 // Versions chooses the version of a request and takes evidence.
 type Versions interface {
 	// Pick returns the version for a request and how many of its servers to use, zero for all.
-	Pick(service, id string) (version string, first int)
+	Pick(service, route, id string) (version string, first int)
 	// Settled returns the version that serves outside of any move.
 	Settled(service string) string
 	// Avoids reports whether no new work may go to the version.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -183,7 +183,7 @@
 	case usable && len(state.Tokens) > 0:
 		return pinned, 0
 	}
-	return versions.Pick(x.record.Service, x.record.ID)
+	return versions.Pick(x.record.Service, x.record.Route, x.record.ID)
 }
 
 func (x *run) begin(address, version string) {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"swiftbeam/internal/member"
+	_ "swiftbeam/internal/seeds"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
 )
--- /dev/null
+++ b/internal/seeds/seeds.go
@@ -0,0 +1,17 @@
+// Package seeds makes stateful tests deterministic: importing it fixes the seed of package
+// rapid. The flag -rapid.seed=N on the command line takes precedence.
+//
+//	import _ "swiftbeam/internal/seeds"
+package seeds
+
+import (
+	"flag"
+
+	_ "pgregory.net/rapid" // defines the flag
+)
+
+func init() {
+	if err := flag.Set("rapid.seed", "20261203"); err != nil {
+		panic("seeds: " + err.Error())
+	}
+}
--- a/internal/state/move.go
+++ b/internal/state/move.go
@@ -47,6 +47,10 @@
 	Reason   Reason
 	Evidence string
 	StageAt  clock.Instant
+	// ShareAt is the instant of the last change of the share.
+	ShareAt clock.Instant
+	// Faults counts the faulty answers of the new version at the last change of the share.
+	Faults uint64
 }
 
 // FullShare is the Share of all traffic.
@@ -61,6 +65,7 @@
 	Share    int
 	Reason   Reason
 	Evidence string
+	Faults   uint64
 }
 
 func (MoveStep) command() {}
@@ -92,7 +97,7 @@
 	s.Moves[name] = &Move{
 		Service: name, From: service.Version, To: service.Move.To,
 		Started: s.Now, FinishBy: service.Move.FinishBy, Trial: service.Move.TrialPercent,
-		Revision: revision, StageAt: s.Now,
+		Revision: revision, StageAt: s.Now, ShareAt: s.Now,
 	}
 }
 
@@ -113,6 +118,9 @@
 	if stage != m.Stage {
 		m.StageAt = now
 	}
+	if share != m.Share {
+		m.ShareAt = now
+	}
 	m.Stage = stage
 	m.Share = share
 	m.Reason = why
@@ -127,8 +135,7 @@
 	if m.Revision != b.Revision || m.Stage.Ended() {
 		return Result{Code: Stale, Version: m.Revision}
 	}
-	m.enter(s.Now, b.Stage, b.Share, b.Reason)
-	m.Evidence = b.Evidence
+	ApplyStep(s.Now, m, b)
 	return Result{Version: m.Revision}
 }
 
@@ -139,3 +146,10 @@
 	}
 	return s.Document.Services[service].Version
 }
+
+// ApplyStep changes m by a step of the present revision.
+func ApplyStep(now clock.Instant, m *Move, b MoveStep) {
+	m.enter(now, b.Stage, b.Share, b.Reason)
+	m.Evidence = b.Evidence
+	m.Faults = b.Faults
+}
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "swiftbeam/internal/seeds"
 )
 
 // TestStatefulMirror sends pieces to a mirror late, twice and out of order, loses the holder,
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -29,7 +29,7 @@
 	case state.MoveStep:
 		m.Body = &peerpb.Command_MoveStep{MoveStep: &peerpb.MoveStep{
 			Service: b.Service, Version: b.Version, Revision: b.Revision, Stage: uint32(b.Stage),
-			Share: uint32(b.Share), Reason: uint32(b.Reason), Evidence: b.Evidence,
+			Share: uint32(b.Share), Reason: uint32(b.Reason), Evidence: b.Evidence, Faults: b.Faults,
 		}}
 	case state.TakeOrder:
 		m.Body = &peerpb.Command_TakeOrder{TakeOrder: &peerpb.TakeOrder{
@@ -76,6 +76,7 @@
 		c.Body = state.MoveStep{
 			Service: p.GetService(), Version: p.GetVersion(), Revision: p.GetRevision(), Stage: state.Stage(p.GetStage()),
 			Share: int(p.GetShare()), Reason: state.Reason(p.GetReason()), Evidence: p.GetEvidence(),
+			Faults: p.GetFaults(),
 		}
 	case *peerpb.Command_TakeOrder:
 		p := b.TakeOrder
@@ -233,6 +234,7 @@
 		Service: v.Service, From: v.From, To: v.To, Started: int64(v.Started), FinishBy: int64(v.FinishBy),
 		Revision: v.Revision, Stage: uint32(v.Stage), Share: uint32(v.Share), Reason: uint32(v.Reason),
 		Evidence: v.Evidence, StageAt: int64(v.StageAt), Trial: uint32(v.Trial),
+		ShareAt: int64(v.ShareAt), Faults: v.Faults,
 	}
 }
 
@@ -243,6 +245,7 @@
 		Revision: m.GetRevision(), Stage: state.Stage(m.GetStage()), Share: int(m.GetShare()),
 		Reason: state.Reason(m.GetReason()), Evidence: m.GetEvidence(),
 		StageAt: clock.Instant(m.GetStageAt()), Trial: int(m.GetTrial()),
+		ShareAt: clock.Instant(m.GetShareAt()), Faults: m.GetFaults(),
 	}
 }
 
