Add failure tests over real sockets

Cause: losses, reclaims, a silent partition and racing operators were only tried by the demo. Change: nine tests over loopback sockets with the stand-ins, and Cuts, which separates daemons silently.

--- /dev/null
+++ b/internal/local/cuts.go
@@ -0,0 +1,68 @@
+package local
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Cuts separates daemons of a deployment silently: connections stay open and carry nothing, and
+// new ones are never answered. The zero value separates nothing.
+type Cuts struct {
+	mu  sync.Mutex
+	off map[string]bool
+}
+
+// Set cuts the daemon that listens for peers at address off, or connects it again.
+func (c *Cuts) Set(address string, off bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.off == nil {
+		c.off = make(map[string]bool)
+	}
+	c.off[address] = off
+}
+
+func (c *Cuts) between(a, b string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.off[a] != c.off[b]
+}
+
+// Dial returns the dialer of the daemon that listens for peers at from.
+func (c *Cuts) Dial(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if c.between(from, address) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &link{Conn: conn, cuts: c, from: from, to: address}, nil
+	}
+}
+
+// link is a connection that loses all bytes while its ends are separated.
+type link struct {
+	net.Conn
+	cuts     *Cuts
+	from, to string
+}
+
+func (l *link) Write(p []byte) (int, error) {
+	if l.cuts.between(l.from, l.to) {
+		return len(p), nil
+	}
+	return l.Conn.Write(p)
+}
+
+func (l *link) Read(p []byte) (int, error) {
+	for {
+		n, err := l.Conn.Read(p)
+		if err != nil || !l.cuts.between(l.from, l.to) {
+			return n, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/local/failure_test.go
@@ -0,0 +1,326 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"swiftbeam/internal/fakes"
+	"swiftbeam/internal/lease"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/pkg/admin"
+	"swiftbeam/pkg/caller"
+	"swiftbeam/pkg/clock"
+)
+
+// patience bounds each test; nothing in them depends on how fast things happen.
+const patience = 60 * time.Second
+
+func begin(t *testing.T, o Options) (context.Context, *Deployment) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	o.Folder = t.TempDir()
+	d, err := Start(ctx, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	for name, text := range map[string]string{
+		"accounts": AccountsSection, "commission-ledger": LedgerSection, "luthier-model": ModelSection("v1", ""),
+	} {
+		if err := d.Put(ctx, name, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return ctx, d
+}
+
+// engines starts engines and waits until every daemon knows them.
+func engines(ctx context.Context, t *testing.T, d *Deployment, count int, change func(*fakes.Engine)) []*fakes.Engine {
+	t.Helper()
+	var list []*fakes.Engine
+	for i := range count {
+		e, err := d.Engine("v1", Zones[i%len(Zones)], change)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list = append(list, e)
+	}
+	until(ctx, t, d, "engines are known", func() bool { return everywhere(d, "luthier-model", count) })
+	return list
+}
+
+func everywhere(d *Deployment, service string, count int) bool {
+	for i := range d.settings {
+		if one := d.Daemon(i); one != nil && one.Roster.Ready(service, "v1") != count {
+			return false
+		}
+	}
+	return true
+}
+
+func until(ctx context.Context, t *testing.T, d *Deployment, what string, met func() bool) {
+	t.Helper()
+	if err := d.Until(ctx, what, met); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// streaming runs streams at one daemon and reports when each has its first tokens.
+type streaming struct {
+	begun   sync.WaitGroup
+	done    sync.WaitGroup
+	mu      sync.Mutex
+	answers []caller.Answer
+	errs    []error
+}
+
+func (s *streaming) start(ctx context.Context, c *caller.Client, count, tokens int) {
+	for i := range count {
+		prompt := fmt.Sprintf("letter %d about a cello", i)
+		s.begun.Add(1)
+		s.done.Go(func() {
+			var once sync.Once
+			answer, err := c.Stream(ctx, caller.Prompt{Model: "luthier-model:dossier", Prompt: prompt, MaxTokens: tokens}, func(string) {
+				once.Do(s.begun.Done)
+			})
+			if err == nil && answer.Text != fakes.Answer(prompt, tokens) {
+				err = errors.New("the answer is not the whole one")
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.answers, s.errs = append(s.answers, answer), append(s.errs, err)
+		})
+	}
+}
+
+func (s *streaming) check(t *testing.T) {
+	t.Helper()
+	s.done.Wait()
+	for i, err := range s.errs {
+		if err != nil || s.answers[i].Disorder != 0 {
+			t.Errorf("stream %d: got error %v and %d events out of order, want a whole answer", i, err, s.answers[i].Disorder)
+		}
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	engines(ctx, t, d, 2, nil)
+	s := &streaming{}
+	s.start(ctx, d.CallerAt(0), 8, 300)
+	s.begun.Wait()
+	if err := d.Stop(ctx, 0); err != nil {
+		t.Errorf("got error %v from a planned stop, want none", err)
+	}
+	s.check(t)
+	for _, a := range s.answers {
+		if a.Resumes != 0 {
+			t.Errorf("got %d resumes, want none during a planned stop", a.Resumes)
+		}
+	}
+}
+
+func TestStreamsSurviveTheLossOfTheirDaemon(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	engines(ctx, t, d, 2, nil)
+	c := d.Caller()
+	s := &streaming{}
+	s.start(ctx, c, 12, 400)
+	s.begun.Wait()
+	d.Kill(1)
+	s.check(t)
+}
+
+func TestStreamsSurviveAReclaimedZoneAndAKilledEngine(t *testing.T) {
+	for _, noExport := range []bool{false, true} {
+		t.Run(fmt.Sprintf("noExport=%v", noExport), func(t *testing.T) {
+			ctx, d := begin(t, Options{Daemons: 3})
+			list := engines(ctx, t, d, 4, func(e *fakes.Engine) { e.NoExport = noExport })
+			s := &streaming{}
+			s.start(ctx, d.Caller(), 24, 400)
+			s.begun.Wait()
+			list[0].Kill() // no notice at all
+			d.Cloud.Reclaim(list[1].Address, 400*time.Millisecond)
+			list[2].Reclaim(ctx, 400*time.Millisecond)
+			time.Sleep(400 * time.Millisecond)
+			list[1].Kill()
+			list[2].Kill()
+			s.check(t)
+			for _, e := range list {
+				if got := e.Mismatched.Load(); got != 0 {
+					t.Errorf("got %d resumes that do not fit the answer, want 0", got)
+				}
+			}
+		})
+	}
+}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	list := engines(ctx, t, d, 2, nil)
+	list[0].Leave(ctx)
+	until(ctx, t, d, "the server left everywhere", func() bool { return everywhere(d, "luthier-model", 1) })
+	before := list[0].Requests.Load()
+	s := &streaming{}
+	s.start(ctx, d.Caller(), 12, 5)
+	s.check(t)
+	if got, want := list[0].Requests.Load(), before; got != want {
+		t.Errorf("got %d requests at the leaving server, want %d", got, want)
+	}
+}
+
+// TestAtMostOnceOverTheLossOfADaemon kills the daemon that holds calls under way, and resends
+// them with the same keys at the others.
+func TestAtMostOnceOverTheLossOfADaemon(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	book := &fakes.Book{}
+	l, err := d.Ledger(book, Zones[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Work = 300 * time.Millisecond
+	until(ctx, t, d, "the ledger is known", func() bool { return everywhere(d, "commission-ledger", 1) })
+	const calls = 8
+	var wait sync.WaitGroup
+	for i := range calls {
+		wait.Go(func() {
+			key := fmt.Sprint("key-", i)
+			first := d.CallerAt(0)
+			first.Tries = 1
+			_, _ = first.Call(ctx, "/deposits", key, []byte("250"))
+			_, _ = d.CallerAt(1+i%2).Call(ctx, "/deposits", key, []byte("250"))
+		})
+	}
+	until(ctx, t, d, "a call runs", func() bool { return book.Runs("oficina/deposits/key-0") > 0 })
+	d.Kill(0)
+	wait.Wait()
+	for i := range calls {
+		if got := book.Runs(fmt.Sprint("oficina/deposits/key-", i)); got > 1 {
+			t.Errorf("key-%d: got %d runs, want at most 1", i, got)
+		}
+	}
+}
+
+func TestSilentPartitionStopsAcceptance(t *testing.T) {
+	cuts := &Cuts{}
+	ctx, d := begin(t, Options{Daemons: 3, Cuts: cuts})
+	engines(ctx, t, d, 1, nil)
+	cuts.Set(d.Settings(0).Listen.Peers, true)
+	until(ctx, t, d, "the isolated daemon notices", func() bool { return d.Daemon(0).Standing() == lease.Isolated })
+	c := d.CallerAt(0)
+	c.Tries = 1
+	_, err := c.Stream(ctx, caller.Prompt{Model: "luthier-model", Prompt: "x", MaxTokens: 3}, nil)
+	var refusal *caller.Refusal
+	if !errors.As(err, &refusal) || !refusal.NotRun || refusal.Status != http.StatusServiceUnavailable {
+		t.Errorf("got %v at the isolated daemon, want 503 with notRun", err)
+	}
+	until(ctx, t, d, "the others go on", func() bool { return d.Put(ctx, "luthier-model", ModelSection("v1", "")) == nil })
+	cuts.Set(d.Settings(0).Listen.Peers, false)
+	if err := d.WaitReady(ctx); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestOperatorsRaceAndResend(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	won, lost := 0, 0
+	for i := range 6 {
+		wait.Go(func() {
+			p := admin.PutSection{Base: 1, Operation: fmt.Sprint("race-", i), Text: ModelSection(fmt.Sprint("v", i+2), "")}
+			first, err := d.OperatorAt(i%3).Put(ctx, "luthier-model", p)
+			again, errAgain := d.OperatorAt((i+1)%3).Put(ctx, "luthier-model", p)
+			mu.Lock()
+			defer mu.Unlock()
+			var answer *admin.Error
+			switch {
+			case err == nil && errAgain == nil && first == again && first == 2:
+				won++
+			case errors.As(err, &answer) && answer.Status == http.StatusConflict && answer.Version == 2 && strings.Contains(answer.Message, "race-"):
+				lost++
+			default:
+				t.Errorf("operator %d: got %d, %v and again %d, %v", i, first, err, again, errAgain)
+			}
+		})
+	}
+	wait.Wait()
+	if won != 1 || lost != 5 {
+		t.Errorf("got %d winners and %d conflicts, want 1 and 5", won, lost)
+	}
+	until(ctx, t, d, "the version is in force", func() bool {
+		s, err := d.Operator().Status(ctx)
+		return err == nil && s.InForce && s.Version == 4
+	})
+}
+
+// TestWipedVoterIsReplacedBeforeASecondLoss loses the disk of a voter, waits until the repair is
+// reported done, and loses another voter.
+func TestWipedVoterIsReplacedBeforeASecondLoss(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 4, Voters: 3, ReplaceAfter: 2 * clock.Second})
+	old := d.Daemon(0).Store.Self.ID
+	d.Kill(0)
+	if err := os.RemoveAll(d.Settings(0).DataFolder); err != nil {
+		t.Fatal(err)
+	}
+	until(ctx, t, d, "the voter is replaced", func() bool { return repaired(d, old) })
+	if err := d.Run(0); err != nil {
+		t.Fatal(err)
+	}
+	if got := d.Daemon(0).Store.Self.ID; got == old {
+		t.Errorf("got identity %s again after the disk was wiped, want a new one", got)
+	}
+	d.Kill(1)
+	until(ctx, t, d, "a second loss loses nothing", func() bool {
+		s, err := d.OperatorAt(2).Get(ctx, "commission-ledger")
+		return err == nil && s.Text == LedgerSection && d.Put(ctx, "luthier-model", ModelSection("v1", "")) == nil
+	})
+}
+
+func repaired(d *Deployment, gone quorum.ID) bool {
+	for i := 1; i < 4; i++ {
+		s := d.Daemon(i).Store.Status()
+		if s.Role != quorum.Leader || s.Repair != quorum.Healthy {
+			continue
+		}
+		for _, m := range s.Members {
+			if m.ID == gone {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+func TestAllDaemonsRestartFromDisk(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	for range 40 {
+		if err := d.Put(ctx, "luthier-model", ModelSection("v1", "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 3 {
+		d.Kill(i)
+	}
+	for i := range 3 {
+		if err := d.Run(i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := d.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	s, err := d.OperatorAt(1).Get(ctx, "luthier-model")
+	if got, want := s.Version, uint64(41); err != nil || got != want {
+		t.Errorf("got version %d (%v), want %d", got, err, want)
+	}
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -48,8 +48,8 @@
 	// Folder holds the data folders.
 	Folder string
 	Log    logr.Logger
-	// Dial replaces the dialer of the daemon with the given index.
-	Dial func(from int) func(ctx context.Context, network, address string) (net.Conn, error)
+	// Cuts separates daemons; nil means never.
+	Cuts *Cuts
 	// ReplaceAfter is the silence after which a voter is replaced; zero means the default.
 	ReplaceAfter clock.Duration
 	BalancerLag  clock.Duration
@@ -155,8 +155,8 @@
 // Run starts the daemon with the given index, also again after Kill.
 func (d *Deployment) Run(i int) error {
 	o := daemon.Options{Log: d.Options.Log.WithName(d.settings[i].Name), ReplaceAfter: d.Options.ReplaceAfter}
-	if d.Options.Dial != nil {
-		o.Dial = d.Options.Dial(i)
+	if d.Options.Cuts != nil {
+		o.Dial = d.Options.Cuts.Dial(d.settings[i].Listen.Peers)
 	}
 	one, err := daemon.New(d.settings[i], o)
 	if err != nil {
@@ -178,6 +178,9 @@
 	return d.daemons[i]
 }
 
+// Settings returns the settings of the daemon with the given index.
+func (d *Deployment) Settings(i int) *setup.Settings { return d.settings[i] }
+
 // Kill ends a daemon as a crash would.
 func (d *Deployment) Kill(i int) {
 	one := d.remove(i)
