--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,137 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "swiftbeam/internal/seeds"
+	"swiftbeam/pkg/clock"
+)
+
+const plainSection = `{"kind": "service", "type": "plain", "version": "v1", "routes": [{"name": "a", "path": "/%s"}]%s}`
+
+// TestStatefulState applies random commands and checks after each that versions and fencing
+// numbers rise, that an operation has one effect, and that a call has one outcome.
+func TestStatefulState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &stateModel{results: map[string]Result{}, outcomes: map[OnceKey]OnceRecord{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": m.put, "begin": m.begin, "end": m.end, "order": m.order,
+			"time": func(t *rapid.T) { m.now = m.now.Add(clock.Duration(rapid.IntRange(0, 100_000).Draw(t, "time"))) },
+			"":     m.check,
+		})
+	})
+}
+
+type stateModel struct {
+	state    State
+	now      clock.Instant
+	version  uint64
+	fence    uint64
+	results  map[string]Result
+	outcomes map[OnceKey]OnceRecord
+}
+
+func (m *stateModel) apply(b Body) Result {
+	return m.state.Apply(m.state.Applied+1, Command{At: m.now, Body: b})
+}
+
+func (m *stateModel) put(t *rapid.T) {
+	name := rapid.SampledFrom([]string{"one", "two", "three"}).Draw(t, "section")
+	path := rapid.SampledFrom([]string{name, name, "one", "shared"}).Draw(t, "path")
+	p := PutSection{
+		Operation: fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "operation")), Section: name, Owner: "o",
+		Base: uint64(rapid.IntRange(0, 4).Draw(t, "base")), Text: fmt.Sprintf(plainSection, path, ""),
+	}
+	before := m.state.Version
+	got := m.apply(p)
+	if want, done := m.results[p.Operation]; done {
+		if got != want || m.state.Version != before {
+			t.Fatalf("operation %s resent: got %+v, want %+v without effect", p.Operation, got, want)
+		}
+		return
+	}
+	m.results[p.Operation] = got
+	if got.Code == Done && (got.Version != p.Base+1 || m.state.Version != before+1) {
+		t.Fatalf("got version %d from base %d, want the next one", got.Version, p.Base)
+	}
+	if got.Code != Done && m.state.Version != before {
+		t.Fatalf("a refused write had an effect: %v", got.Code)
+	}
+}
+
+func (m *stateModel) key(t *rapid.T) OnceKey {
+	return OnceKey{Account: "a", Route: "r", Key: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "key"))}
+}
+
+func (m *stateModel) begin(t *rapid.T) {
+	b := OnceBegin{
+		OnceKey: m.key(t), Digest: []byte{byte(rapid.IntRange(0, 1).Draw(t, "body"))},
+		Request: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "request")), Holder: "h",
+	}
+	old := m.state.Once[b.OnceKey]
+	var held OnceRecord
+	if old != nil {
+		held = *old
+	}
+	got := m.apply(b)
+	if got.Code != Done || old == nil {
+		return
+	}
+	same := held.Request == b.Request && held.Outcome == Pending
+	if !same && held.Outcome != NotRun {
+		t.Fatalf("a second right to run %v was given after %v", b.OnceKey, held.Outcome)
+	}
+}
+
+func (m *stateModel) end(t *rapid.T) {
+	m.apply(OnceEnd{
+		OnceKey: m.key(t), Request: fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "request")),
+		Outcome: OnceOutcome(rapid.IntRange(1, 3).Draw(t, "outcome")), Status: rapid.IntRange(200, 500).Draw(t, "status"),
+	})
+}
+
+func (m *stateModel) order(t *rapid.T) {
+	b := TakeOrder{Operation: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "order")), Holder: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "holder"))}
+	var held Order
+	if o := m.state.Orders[b.Operation]; o != nil {
+		held = *o
+	}
+	got := m.apply(b)
+	if got.Code == Done && held.Holder != b.Holder && got.Fence <= m.fence {
+		t.Fatalf("got fence %d for a new holder, want above %d", got.Fence, m.fence)
+	}
+	m.fence = max(m.fence, got.Fence)
+	if rapid.Bool().Draw(t, "end") {
+		late := m.apply(EndOrder{Operation: b.Operation, Fence: held.Fence})
+		if late.Code == Done && held.Fence != got.Fence {
+			t.Fatalf("an order ended under fence %d, want %d", held.Fence, got.Fence)
+		}
+	}
+}
+
+func (m *stateModel) check(t *rapid.T) {
+	if m.state.Version < m.version {
+		t.Fatalf("got version %d after %d", m.state.Version, m.version)
+	}
+	m.version = m.state.Version
+	for key, r := range m.state.Once {
+		if old, seen := m.outcomes[key]; seen && old.Outcome == Answered && m.now.Sub(old.At) < OnceWindow {
+			if r.Outcome != Answered || r.Status != old.Status {
+				t.Fatalf("the answer of %v changed from %+v to %+v", key, old, *r)
+			}
+		}
+		m.outcomes[key] = *r
+	}
+	paths := map[string]string{}
+	for name, s := range m.state.Document.Services {
+		for _, r := range s.Routes {
+			if other, taken := paths[r.Path]; taken {
+				t.Fatalf("services %s and %s share path %s", name, other, r.Path)
+			}
+			paths[r.Path] = name
+		}
+	}
+}
