--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -84,6 +84,10 @@
 // Servers chooses backend servers.
 type Servers interface {
 	TryAcquire(n roster.Need) *roster.Grant
+	// Addresses returns all known servers of a service, also those that receive no new work.
+	Addresses(service string) []string
+	// Alive reports whether the daemon was heard within its lease.
+	Alive(daemon string) bool
 }
 
 // Caller is the service. Set the exported fields before use.
@@ -315,31 +319,64 @@
 	_, _ = c.Journal.Propose(ctx, e)
 }
 
-// replay answers a call that another request with the same key began.
+// replay answers a call that another request with the same key began. Where the first request
+// has no outcome, because its holder is gone or got no answer, the backend servers are asked.
 func (c *Caller) replay(ctx context.Context, q Call, r *state.OnceRecord) (Answer, error) {
+	r = c.awaitOutcome(ctx, q.OnceKey, r)
+	switch {
+	case r == nil || r.Outcome == state.NotRun:
+		c.Stats.NotRun.Add(1)
+		return Answer{}, fault.New(fault.Unavailable, "the first request with this key was not run").
+			Remedy("retry with the same key").After(1)
+	case r.Outcome == state.Answered:
+		c.Stats.Replayed.Add(1)
+		return Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body, Replayed: true}, nil
+	}
+	answer, ok := c.askAll(q)
+	if !ok {
+		return Answer{}, unsure(r.Request)
+	}
+	c.Stats.Settled.Add(1)
+	first := q
+	first.Request = r.Request
+	c.record(first, ended(answer))
+	answer.Replayed = true
+	return answer, nil
+}
+
+// awaitOutcome waits while the holder of a call lives and has not recorded the outcome.
+func (c *Caller) awaitOutcome(ctx context.Context, key state.OnceKey, r *state.OnceRecord) *state.OnceRecord {
 	ctx, cancel := context.WithTimeout(ctx, PendingWait.Std())
 	defer cancel()
-	for r != nil && r.Outcome == state.Pending {
+	for r != nil && r.Outcome == state.Pending && ctx.Err() == nil && c.holderLives(r) {
 		changed := c.Journal.Changed()
-		if r = c.look(q.OnceKey); r == nil || r.Outcome != state.Pending {
+		if r = c.look(key); r == nil || r.Outcome != state.Pending {
 			break
 		}
 		select {
 		case <-changed:
+		case <-time.After(holderCheck.Std()):
 		case <-ctx.Done():
-			return Answer{}, unsure(r.Request)
 		}
 	}
-	switch {
-	case r == nil || r.Outcome == state.NotRun:
-		c.Stats.NotRun.Add(1)
-		return Answer{}, fault.New(fault.Unavailable, "the first request with this key was not run").
-			Remedy("retry with the same key").After(1)
-	case r.Outcome == state.Unsure:
-		return Answer{}, unsure(r.Request)
+	return r
+}
+
+// holderCheck is the pause between two looks at the holder of a pending call.
+const holderCheck = 250 * clock.Millisecond
+
+func (c *Caller) holderLives(r *state.OnceRecord) bool {
+	return r.Holder == c.Self || c.Servers.Alive(r.Holder)
+}
+
+// askAll asks every server of the service for a recorded outcome.
+func (c *Caller) askAll(q Call) (Answer, bool) {
+	for _, address := range c.Servers.Addresses(q.Service) {
+		if answer, ok := c.ask(address, BackendKey(q.OnceKey)); ok {
+			return answer, true
+		}
 	}
-	c.Stats.Replayed.Add(1)
-	return Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body, Replayed: true}, nil
+	return Answer{}, false
 }
 
 func (c *Caller) look(key state.OnceKey) *state.OnceRecord {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -288,6 +289,22 @@
 	return r.table.All()
 }
 
+// Addresses returns all servers of a service whose lease holds, whatever their state.
+func (r *Roster) Addresses(service string) []string {
+	var list []string
+	for _, b := range r.Backends() {
+		if b.Service == service {
+			list = append(list, b.Address)
+		}
+	}
+	return list
+}
+
+// Alive reports whether another daemon was heard within the lease.
+func (r *Roster) Alive(daemon string) bool {
+	return slices.ContainsFunc(r.Live(), func(d member.Daemon) bool { return d.ID == daemon })
+}
+
 // Live returns the other daemons that were heard within the lease.
 func (r *Roster) Live() []member.Daemon {
 	r.mu.Lock()
