--- a/cmd/swiftbeam/main.go
+++ b/cmd/swiftbeam/main.go
@@ -20,7 +20,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(daemonCommand(), demoCommand(), settingsCommand(), configCommand(), versionsCommand(), dumpCommand(), measureCommand(), replayCommand())
+	root.AddCommand(daemonCommand(), demoCommand(), settingsCommand(), configCommand(), versionsCommand(), dumpCommand(), measureCommand(), replayCommand(), capacityCommand())
 	if err := root.Execute(); err != nil {
 		os.Exit(report(err))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 const (
 	ElectionTimeout = clock.Second
 	Heartbeat       = 150 * clock.Millisecond
+	LearnerBeat     = clock.Second
 	ReplaceAfter    = clock.Minute
 	ForgetAfter     = 2 * clock.Minute
 	batchBytes      = 4 << 20
@@ -126,7 +127,7 @@
 	d.Net = peers.New(peers.Options{Token: s.PeerToken, Dial: d.options.Dial, TLS: d.clientTLS()})
 	d.Store = &store.Store{
 		Settings: quorum.Settings{
-			ElectionTimeout: ElectionTimeout, Heartbeat: Heartbeat, ReplaceAfter: d.options.ReplaceAfter,
+			ElectionTimeout: ElectionTimeout, Heartbeat: Heartbeat, LearnerBeat: LearnerBeat, ReplaceAfter: d.options.ReplaceAfter,
 			ForgetAfter: ForgetAfter, Voters: s.Voters, BatchBytes: batchBytes, Seed: seed(),
 		},
 		Self:    quorum.Member{Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region},
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -29,7 +29,10 @@
 	random   uint64
 	transfer ID
 	needBeat bool
-	out      Actions
+	// learnersAt and needLearners are the heartbeat of learners.
+	learnersAt   clock.Instant
+	needLearners bool
+	out          Actions
 }
 
 // progress is what a leader knows of another member.
--- a/internal/quorum/doc.go
+++ b/internal/quorum/doc.go
@@ -200,6 +200,9 @@
 	Self            ID
 	ElectionTimeout clock.Duration
 	Heartbeat       clock.Duration
+	// LearnerBeat is the heartbeat to learners, which need it for their lease alone; zero means
+	// Heartbeat.
+	LearnerBeat clock.Duration
 	// ReplaceAfter is the silence after which a voter is replaced by a learner with a disk.
 	ReplaceAfter clock.Duration
 	// ForgetAfter is the silence after which a learner is removed.
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -12,6 +12,10 @@
 		c.beatAt = now.Add(c.Settings.Heartbeat)
 		c.needBeat = true
 	}
+	if !now.Before(c.learnersAt) {
+		c.learnersAt = now.Add(c.learnerBeat())
+		c.needLearners = true
+	}
 	if now.Before(c.checkAt) {
 		return
 	}
@@ -65,19 +69,22 @@
 func (c *Core) sendAppends() {
 	for _, m := range c.members {
 		if p := c.peers[m.ID]; p != nil {
-			c.sendAppend(m.ID, p)
+			c.sendAppend(m.ID, p, c.needBeat && m.Voter || c.needLearners && !m.Voter)
 		}
 	}
-	c.needBeat = false
+	c.needBeat, c.needLearners = false, false
 }
 
-func (c *Core) sendAppend(to ID, p *progress) {
+func (c *Core) learnerBeat() clock.Duration { return max(c.Settings.LearnerBeat, c.Settings.Heartbeat) }
+
+// sendAppend sends what a member lacks, or an empty message when beat asks for a heartbeat.
+func (c *Core) sendAppend(to ID, p *progress, beat bool) {
 	if p.next <= c.log.base.Index {
 		c.sendSnapshot(to, p)
 		return
 	}
 	entries := c.log.batch(p.next, c.Settings.BatchBytes)
-	if len(entries) == 0 && !c.needBeat {
+	if len(entries) == 0 && !beat {
 		return
 	}
 	term, _ := c.log.term(p.next - 1)
@@ -109,7 +116,7 @@
 	p.heardAt = now
 	if m.Reject {
 		p.next = max(min(m.Hint+1, c.log.last()+1), p.match+1)
-		c.needBeat = true
+		c.needBeat, c.needLearners = true, true
 		return
 	}
 	if m.Index > c.log.last() {
@@ -141,7 +148,7 @@
 	index := held[(len(held)-1)/2]
 	if term, _ := c.log.term(index); term == c.Hard.Term && index > c.Commit {
 		c.commitTo(index)
-		c.needBeat = true
+		c.needBeat, c.needLearners = true, true
 	}
 }
 
--- a/internal/quorum/voters.go
+++ b/internal/quorum/voters.go
@@ -125,9 +125,14 @@
 	return members, Accepted
 }
 
+// answers reports whether a member answered lately; learners are asked less often.
 func (c *Core) answers(now clock.Instant, id ID) bool {
 	p := c.peers[id]
-	return p != nil && now.Sub(p.heardAt) <= c.Settings.ElectionTimeout
+	limit := c.Settings.ElectionTimeout
+	if !c.isVoter(id) {
+		limit += c.learnerBeat()
+	}
+	return p != nil && now.Sub(p.heardAt) <= limit
 }
 
 // repair makes at most one membership change: it promotes a learner for a voter that is silent,
