Keep streams over the loss of a mirror and then of its holder; answer unknown calls at once

Traces showed: - a pending call of a daemon that had restarted under its old identity looked held for ever; each resend waited 10 s; - a mirror that was restarted took later pieces of a stream it did not know and answered as if it held them; a stream without a mirror never looked for another; - a daemon that was still catching up answered 401 and 404, and one that had heard no other daemon yet accepted without a copy; - a search for a request said 404 although a daemon had not answered; - a follower of a daemon that died ended the caller's stream with an error.

Change: holders of calls are named by run, not by identity, and a call whose holder is gone gets its final "outcome unknown" at once; mirrors name the requests they need whole; runs look for a mirror again; a daemon that is catching up refuses with 503; searches ask all members side by side and tell silence from absence; streams that moved close their connection so that the caller resumes.

Conclusion: one loss at a time is survived, also in sequence. Two losses within the 100 ms before a caller resumes lose the stream; that limit is written down.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -163,7 +163,7 @@
 func (d *Daemon) buildPaths() {
 	s, c, log := d.Settings, d.options.Clock, d.options.Log
 	self := member.Daemon{
-		ID: string(d.Store.Self.ID), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
+		ID: string(d.Store.Self.ID), Boot: randomName(), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
 	}
 	d.Roster = &roster.Roster{Self: self, Clock: c, Net: d.Net, Directory: d, Log: log.WithName("roster"), Lease: s.Lease}
 	d.Pilot = &pilot.Pilot{
@@ -176,7 +176,7 @@
 	}
 	d.Roster.Leaver = d.Relay
 	d.Once = &once.Caller{
-		Self: self.ID, Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: backendClient(), Observe: d.Pilot.Observe,
+		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: backendClient(), Observe: d.Pilot.Observe,
 	}
 	d.Manage = &manage.Manage{
 		Clock: c, Settings: s, Kernel: d.Kernel, Store: d.Store, Roster: d.Roster, Metrics: d.Metrics, Self: self,
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -31,7 +32,10 @@
 	FalseNotRun int
 	// CutShort counts complete answers that the bad version ended early; no daemon can tell.
 	CutShort int
-	Seconds  float64
+	// Unknown counts deposits that were answered "outcome unknown" after a crash of their daemon;
+	// they were not accepted, and ran at most once.
+	Unknown int
+	Seconds float64
 }
 
 // Held reports whether the run kept every promise.
@@ -54,12 +58,13 @@
 cut short by a bad version %6d
 refused, not run           %6d
 refused, but run           %6d
+outcome unknown            %6d
 reclaims                   %6d
 versions finished          %6d
 versions rolled back       %6d
 tokens recomputed          %6d
 %s in %.1f s
-`, r.Accepted, r.Answered, r.Lost, r.Duplicated, r.CutShort, r.RefusedNotRun, r.FalseNotRun, r.Reclaims,
+`, r.Accepted, r.Answered, r.Lost, r.Duplicated, r.CutShort, r.RefusedNotRun, r.FalseNotRun, r.Unknown, r.Reclaims,
 		r.VersionMovesFinished, r.VersionMovesRolledBack, r.TokensRecomputed, verdict, r.Seconds)
 }
 
@@ -76,6 +81,7 @@
 	TokensRecomputed       int `json:"tokensRecomputed"`
 	FalseNotRun            int `json:"falseNotRun"`
 	CutShort               int `json:"cutShort"`
+	Unknown                int `json:"unknown"`
 }
 
 // JSON returns the report as one JSON object.
@@ -83,7 +89,7 @@
 	data, _ := json.Marshal(reportJSON{
 		Accepted: r.Accepted, Answered: r.Answered, Lost: r.Lost, Duplicated: r.Duplicated,
 		RefusedNotRun: r.RefusedNotRun, Reclaims: r.Reclaims, VersionMovesFinished: r.VersionMovesFinished,
-		VersionMovesRolledBack: r.VersionMovesRolledBack, TokensRecomputed: r.TokensRecomputed, FalseNotRun: r.FalseNotRun, CutShort: r.CutShort,
+		VersionMovesRolledBack: r.VersionMovesRolledBack, TokensRecomputed: r.TokensRecomputed, FalseNotRun: r.FalseNotRun, CutShort: r.CutShort, Unknown: r.Unknown,
 	})
 	return string(data)
 }
@@ -195,6 +201,8 @@
 		l.report.Answered++
 	case notRun:
 		l.report.RefusedNotRun++
+	case errors.As(err, &refusal) && refusal.Status == http.StatusBadGateway:
+		l.report.Unknown++
 	default:
 		l.report.Accepted++
 		l.report.Lost++
@@ -206,7 +214,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.Accepted, r.Answered, r.Lost = l.report.Accepted, l.report.Answered, l.report.Lost
-	r.RefusedNotRun, r.CutShort = l.report.RefusedNotRun, l.report.CutShort
+	r.RefusedNotRun, r.CutShort, r.Unknown = l.report.RefusedNotRun, l.report.CutShort, l.report.Unknown
 	for _, d := range l.keys {
 		runs := l.book.Runs(d.key)
 		if runs > 1 {
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -155,6 +155,9 @@
 			first++
 			writeEvent(w, first, chunk(e.Clock.Now(), record, token))
 		}
+		if end.Moved {
+			return
+		}
 		if end.Done {
 			e.writeEnd(w, record, first, end)
 			_ = out.Flush()
@@ -238,6 +241,10 @@
 		for _, token := range tokens {
 			text.WriteString(token)
 		}
+		if end.Moved {
+			e.fail(w, fault.New(fault.Unknown, "another daemon relays the request").Remedy("ask for it with GET /v1/requests/%s", record.ID), ErrorDetail{RequestID: record.ID})
+			return
+		}
 		if !end.Done {
 			continue
 		}
@@ -265,6 +272,10 @@
 func (e *Entry) request(w http.ResponseWriter, q *asked) {
 	id := mux.Vars(q.Request)["id"]
 	record, err := e.Relay.Find(q.Context(), id, q.account.Name)
+	if fault.KindOf(err) == fault.Unavailable {
+		e.fail(w, err, ErrorDetail{RequestID: id})
+		return
+	}
 	if err != nil {
 		e.outcome(w, q, id)
 		return
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -141,7 +141,10 @@
 // caller authenticates a request and refuses it where this daemon does not accept.
 func (e *Entry) caller(next func(http.ResponseWriter, *asked)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		account, err := e.authenticate(r)
+		account, err := fleet.ClientAccount{}, e.informed()
+		if err == nil {
+			account, err = e.authenticate(r)
+		}
 		if err != nil {
 			e.refuse(w, err)
 			return
@@ -150,6 +153,16 @@
 	}
 }
 
+// informed returns an error while this daemon does not know the present configuration, so that
+// it cannot judge a key or a request ID.
+func (e *Entry) informed() error {
+	if e.Standing() != lease.CatchingUp {
+		return nil
+	}
+	return fault.New(fault.Unavailable, "this daemon has just started and is catching up").
+		Remedy("send the request again; the balancer chooses another daemon").After(1)
+}
+
 func (e *Entry) authenticate(r *http.Request) (fleet.ClientAccount, error) {
 	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	digest := sha256.Sum256([]byte(key))
--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"strings"
@@ -80,6 +81,36 @@
 	mu      sync.Mutex
 	answers []caller.Answer
 	errs    []error
+	// waiting are the streams that have not got a token since the last call of pause.
+	waiting map[int]bool
+	open    map[int]bool
+}
+
+// pause starts to wait for a token of each open stream.
+func (s *streaming) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = maps.Clone(s.open)
+}
+
+// resumed reports whether each open stream got a token since pause.
+func (s *streaming) resumed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting) == 0
+}
+
+func (s *streaming) got(i int, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, i)
+	if s.open == nil {
+		s.open = make(map[int]bool)
+	}
+	s.open[i] = true
+	if ended {
+		delete(s.open, i)
+	}
 }
 
 func (s *streaming) start(ctx context.Context, c *caller.Client, count, tokens int) {
@@ -89,8 +120,10 @@
 		s.done.Go(func() {
 			var once sync.Once
 			answer, err := c.Stream(ctx, caller.Prompt{Model: "luthier-model:dossier", Prompt: prompt, MaxTokens: tokens}, func(string) {
+				s.got(i, false)
 				once.Do(s.begun.Done)
 			})
+			s.got(i, true)
 			if err == nil && answer.Text != fakes.Answer(prompt, tokens) {
 				err = errors.New("the answer is not the whole one")
 			}
@@ -139,6 +172,29 @@
 	s.check(t)
 }
 
+// TestStreamsSurviveTheLossOfMirrorAndHolder restarts the daemons one after the other, so that
+// the mirror of a stream forgets it before its holder is lost. Each stream goes on before the
+// next loss; both copies lost within the 100 ms that a caller takes to resume are lost for good.
+func TestStreamsSurviveTheLossOfMirrorAndHolder(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	engines(ctx, t, d, 2, func(e *fakes.Engine) { e.Gap = 15 * time.Millisecond })
+	s := &streaming{}
+	s.start(ctx, d.Caller(), 9, 500)
+	s.begun.Wait()
+	for i := range 3 {
+		d.Kill(i)
+		if err := d.Run(i); err != nil {
+			t.Fatal(err)
+		}
+		if err := d.WaitReady(ctx); err != nil {
+			t.Fatal(err)
+		}
+		s.pause()
+		until(ctx, t, d, "every stream goes on", s.resumed)
+	}
+	s.check(t)
+}
+
 func TestStreamsSurviveAReclaimedZoneAndAKilledEngine(t *testing.T) {
 	for _, noExport := range []bool{false, true} {
 		t.Run(fmt.Sprintf("noExport=%v", noExport), func(t *testing.T) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -30,7 +30,9 @@
 
 // Daemon is another swiftbeam process as this one hears it.
 type Daemon struct {
-	ID       string
+	ID string
+	// Boot names one run of the process; a daemon that restarts from its disk keeps its ID.
+	Boot     string
 	Name     string
 	Address  string
 	Zone     string
@@ -40,6 +42,9 @@
 	HeardAt  clock.Instant
 }
 
+// Holder names this run of the daemon as the holder of work that does not survive a restart.
+func (d *Daemon) Holder() string { return d.ID + "/" + d.Boot }
+
 // Change is a difference that routing must learn of.
 type Change interface{ change() }
 
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -86,12 +86,13 @@
 	TryAcquire(n roster.Need) *roster.Grant
 	// Addresses returns all known servers of a service, also those that receive no new work.
 	Addresses(service string) []string
-	// Alive reports whether the daemon was heard within its lease.
-	Alive(daemon string) bool
+	// Alive reports whether a holder was heard within its lease.
+	Alive(holder string) bool
 }
 
 // Caller is the service. Set the exported fields before use.
 type Caller struct {
+	// Self names this run of the daemon as a holder of calls.
 	Self    string
 	Clock   clock.Clock
 	Journal Journal
@@ -211,7 +212,7 @@
 		if g == nil {
 			break
 		}
-		if c.Clock.Now().After(permit) {
+		if c.Clock.Now().After(permit) || c.ctx.Err() != nil {
 			g.Release(route.Outcome{})
 			break
 		}
@@ -332,13 +333,17 @@
 		c.Stats.Replayed.Add(1)
 		return Answer{Status: r.Status, ContentType: r.ContentType, Body: r.Body, Replayed: true}, nil
 	}
+	first := q
+	first.Request = r.Request
 	answer, ok := c.askAll(q)
-	if !ok {
+	switch {
+	case !ok && r.Outcome == state.Pending && !c.holderLives(r):
+		c.record(first, state.OnceEnd{Outcome: state.Unsure})
+		return Answer{}, unsure(r.Request)
+	case !ok:
 		return Answer{}, unsure(r.Request)
 	}
 	c.Stats.Settled.Add(1)
-	first := q
-	first.Request = r.Request
 	c.record(first, ended(answer))
 	answer.Replayed = true
 	return answer, nil
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -24,7 +24,8 @@
 
 // Holder keeps copies of accepted requests for other daemons.
 type Holder interface {
-	Mirror([]*peerpb.HeldRequest)
+	// Mirror stores copies and returns the IDs of those it needs whole.
+	Mirror([]*peerpb.HeldRequest) []string
 	// Fetch waits for tokens from index first on, until ctx ends at the latest.
 	Fetch(ctx context.Context, r *peerpb.FetchRequest) *peerpb.FetchResponse
 }
@@ -133,8 +134,8 @@
 
 // Mirror stores copies of accepted requests.
 func (s *Server) Mirror(_ context.Context, r *connect.Request[peerpb.MirrorRequest]) (*connect.Response[peerpb.MirrorResponse], error) {
-	s.Holder.Mirror(r.Msg.GetRequests())
-	return connect.NewResponse(&peerpb.MirrorResponse{}), nil
+	unknown := s.Holder.Mirror(r.Msg.GetRequests())
+	return connect.NewResponse(&peerpb.MirrorResponse{Unknown: unknown}), nil
 }
 
 // Fetch reads a held request.
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -82,13 +83,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout.Std())
 	defer cancel()
-	_, err := m.relay.Net.Client(m.daemon.Address).Mirror(ctx, connect.NewRequest(request))
+	response, err := m.relay.Net.Client(m.daemon.Address).Mirror(ctx, connect.NewRequest(request))
 	for i, x := range batch {
-		if err != nil {
+		switch {
+		case err != nil:
 			x.moveMirror(m.daemon.ID)
-			continue
+		case slices.Contains(response.Msg.GetUnknown(), x.record.ID):
+			x.resend(m)
+		default:
+			x.setMirrored(m, counts[i])
 		}
-		x.setMirrored(m, counts[i])
 	}
 }
 
@@ -99,7 +103,8 @@
 		candidates = candidates[:maxMirrorTries]
 	}
 	for _, d := range candidates {
-		if r.copyTo(ctx, d, record) == nil {
+		// The first call may meet a pooled connection to an earlier run of the daemon.
+		if r.copyTo(ctx, d, record) == nil || r.copyTo(ctx, d, record) == nil {
 			return r.mirrorFor(d), true
 		}
 	}
@@ -122,7 +127,7 @@
 func (r *Relay) candidates(id, avoid string) []member.Daemon {
 	var list []member.Daemon
 	var weights []uint64
-	for _, d := range r.Roster.Live() {
+	for _, d := range r.Roster.Reachable() {
 		if d.Draining || d.ID == avoid {
 			continue
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
@@ -151,17 +152,22 @@
 	}
 }
 
-// Mirror stores pieces for other daemons.
-func (r *Relay) Mirror(pieces []*peerpb.HeldRequest) {
+// Mirror stores pieces for other daemons. It returns the IDs of the requests whose beginning it
+// lacks, for instance because it was restarted.
+func (r *Relay) Mirror(pieces []*peerpb.HeldRequest) []string {
 	now := r.Clock.Now()
+	var unknown []string
 	for _, m := range pieces {
 		p := wire.PieceFromPB(m)
-		if record := r.Table.Get(p.ID); record != nil {
-			record.Merge(now, p)
-		} else if p.First == 0 {
+		record := r.Table.Get(p.ID)
+		switch {
+		case record == nil && p.First == 0:
 			r.Table.Put(stream.Restore(now, p))
+		case record == nil || !record.Merge(now, p):
+			unknown = append(unknown, p.ID)
 		}
 	}
+	return unknown
 }
 
 // Fetch answers other daemons that look for a request.
@@ -173,7 +179,9 @@
 	r.Attend(record.ID)
 	live := r.holds(record.ID)
 	if live {
-		_, _, _ = record.Next(ctx, int(q.GetFirst()))
+		wait, cancel := context.WithTimeout(ctx, fetchWait.Std())
+		_, _, _ = record.Next(wait, int(q.GetFirst()))
+		cancel()
 	}
 	piece := record.Piece(int(q.GetFirst()))
 	state := record.State()
@@ -200,7 +208,7 @@
 			return record, nil
 		}
 	}
-	found, live := r.ask(ctx, id, account)
+	found, live, silent := r.ask(ctx, id, account)
 	if live != nil {
 		return r.follow(live, found), nil
 	}
@@ -210,6 +218,10 @@
 			found = &mine
 		}
 	}
+	if found == nil && silent > 0 {
+		return nil, fault.New(fault.Unavailable, "%d daemons did not answer and may hold request %q", silent, id).
+			Remedy("ask again").After(1)
+	}
 	if found == nil {
 		return nil, fault.New(fault.Missing, "no request %q", id).
 			Remedy("check the ID; a complete answer is kept for %v", KeepEnded.Std())
@@ -217,23 +229,45 @@
 	return r.takeOver(ctx, *found), nil
 }
 
-// ask looks for a request at all live daemons. It returns the longest copy, and the daemon that
-// relays the request if one does.
-func (r *Relay) ask(ctx context.Context, id, account string) (*stream.Piece, *member.Daemon) {
-	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout.Std())
+// ask looks for a request at all other daemons. It returns the longest copy, and the daemon that
+// relays the request if one does, and the number of daemons that did not answer.
+func (r *Relay) ask(ctx context.Context, id, account string) (*stream.Piece, *member.Daemon, int) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout.Std())
 	defer cancel()
+	others := r.Roster.Directory.Others()
+	pieces := make([]*stream.Piece, len(others))
+	live := make([]bool, len(others))
+	var silent atomic.Int64
+	var wait sync.WaitGroup
+	for i, d := range others {
+		wait.Go(func() {
+			response, err := r.Net.Client(d.Address).Fetch(ctx, connect.NewRequest(&peerpb.FetchRequest{Id: id, Account: account}))
+			switch {
+			case err != nil:
+				silent.Add(1)
+			case response.Msg.GetFound():
+				p := wire.PieceFromPB(response.Msg.GetRequest())
+				pieces[i], live[i] = &p, response.Msg.GetLive()
+			}
+		})
+	}
+	wait.Wait()
+	best, holder := bestCopy(pieces, live, others)
+	return best, holder, int(silent.Load())
+}
+
+// bestCopy prefers the copy of a daemon that relays the request, then the longest.
+func bestCopy(pieces []*stream.Piece, live []bool, others []member.Daemon) (*stream.Piece, *member.Daemon) {
 	var best *stream.Piece
-	for _, d := range r.Roster.Live() {
-		response, err := r.Net.Client(d.Address).Fetch(ctx, connect.NewRequest(&peerpb.FetchRequest{Id: id, Account: account}))
-		if err != nil || !response.Msg.GetFound() {
+	for i, p := range pieces {
+		if p == nil {
 			continue
 		}
-		piece := wire.PieceFromPB(response.Msg.GetRequest())
-		if response.Msg.GetLive() {
-			return &piece, &d
+		if live[i] {
+			return p, &others[i]
 		}
-		if best == nil || len(piece.Tokens) > len(best.Tokens) {
-			best = &piece
+		if best == nil || len(p.Tokens) > len(best.Tokens) {
+			best = p
 		}
 	}
 	return best, nil
@@ -278,7 +312,7 @@
 			continue
 		}
 		if failures++; failures > maxFollowFailures {
-			record.Fail(r.Clock.Now(), "the daemon that relays the request is gone; resume with Last-Event-ID")
+			record.Move()
 			return
 		}
 		kernel.Pause(r.ctx, acquireStep)
@@ -287,7 +321,12 @@
 
 // Bounds of following a record at another daemon.
 const (
-	followTimeout     = 2 * clock.Second
+	followTimeout = 2 * clock.Second
+	// askTimeout bounds the search for a request at the other daemons.
+	askTimeout = 1500 * clock.Millisecond
+	// fetchWait is how long a fetch waits for the next token; it ends well before the caller of
+	// the fetch gives up.
+	fetchWait         = clock.Second
 	maxFollowFailures = 3
 	acquireStep       = 50 * clock.Millisecond
 )
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -41,16 +41,20 @@
 	// orders are decisions of a reclaim.
 	orders *ring.Ring[drain.Way]
 	done   func()
-	// readAt and abandoned are guarded by the mutex of the relay.
+	// readAt, abandoned and superseded are guarded by the mutex of the relay.
 	readAt    clock.Instant
 	abandoned bool
-	startedAt clock.Instant
+	// superseded is set when another daemon took the request over.
+	superseded bool
+	startedAt  clock.Instant
 	// failures counts failed attempts; only the goroutine of the run uses it.
 	failures int
 
 	mu         sync.Mutex
 	mirror     *mirror
 	sent       int
+	resends    int
+	lookAt     clock.Instant
 	at         string
 	firstToken clock.Instant
 	lastToken  clock.Instant
@@ -115,8 +119,13 @@
 
 func (x *run) giveUp() {
 	x.relay.mu.Lock()
-	abandoned := x.abandoned
+	abandoned, superseded := x.abandoned, x.superseded
 	x.relay.mu.Unlock()
+	if superseded {
+		x.relay.Table.Drop(x.record.ID)
+		x.record.Move()
+		return
+	}
 	if abandoned {
 		x.relay.Stats.Abandoned.Add(1)
 		x.record.Fail(x.relay.Clock.Now(), "cancelled: no caller read the answer")
@@ -385,18 +394,29 @@
 	return x.at
 }
 
-// touch sends new tokens to the mirror, or shows them when there is no other daemon.
+// touch sends new tokens to the mirror. Without a mirror they are shown at once, and a mirror is
+// looked for again now and then.
 func (x *run) touch() {
 	x.mu.Lock()
 	m := x.mirror
+	look := m == nil && !x.relay.Clock.Now().Before(x.lookAt)
+	if look {
+		x.lookAt = x.relay.Clock.Now().Add(mirrorPause)
+	}
 	x.mu.Unlock()
-	if m == nil {
-		x.record.Show(len(x.record.State().Tokens))
+	if m != nil {
+		m.touch(x)
 		return
 	}
-	m.touch(x)
+	x.record.Show(len(x.record.State().Tokens))
+	if look {
+		x.moveMirror("")
+	}
 }
 
+// mirrorPause is the pause between two searches for a mirror.
+const mirrorPause = 500 * clock.Millisecond
+
 func (x *run) mirrored() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -415,13 +435,34 @@
 	}
 }
 
+// resend sends the whole record again to a mirror that lacks its beginning. A mirror that took
+// the request over keeps refusing; the run ends there.
+func (x *run) resend(m *mirror) {
+	x.mu.Lock()
+	again := x.mirror == m && x.resends < maxResends
+	x.resends++
+	x.sent = 0
+	x.mu.Unlock()
+	if again {
+		m.touch(x)
+		return
+	}
+	x.relay.mu.Lock()
+	x.superseded = true
+	x.relay.mu.Unlock()
+	x.cancel()
+}
+
+// maxResends bounds the refusals of one mirror before the run counts as taken over.
+const maxResends = 3
+
 // moveMirror chooses another mirror after the one with the given ID failed.
 func (x *run) moveMirror(failed string) {
 	x.relay.group.Go(func() {
 		m, _ := x.relay.place(x.relay.ctx, x.record, failed)
 		x.mu.Lock()
 		x.mirror = m
-		x.sent = 0
+		x.sent, x.resends = 0, 0
 		x.mu.Unlock()
 		x.touch()
 	})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -146,7 +146,7 @@
 	f := m.GetFrom()
 	return member.Daemon{
 		ID: f.GetId(), Name: f.GetName(), Address: f.GetAddress(), Zone: f.GetZone(), Region: f.GetRegion(),
-		Applied: m.GetApplied(), Draining: m.GetDraining(),
+		Applied: m.GetApplied(), Draining: m.GetDraining(), Boot: m.GetBoot(),
 	}
 }
 
@@ -300,9 +300,9 @@
 	return list
 }
 
-// Alive reports whether another daemon was heard within the lease.
-func (r *Roster) Alive(daemon string) bool {
-	return slices.ContainsFunc(r.Live(), func(d member.Daemon) bool { return d.ID == daemon })
+// Alive reports whether the run of another daemon that holder names was heard within the lease.
+func (r *Roster) Alive(holder string) bool {
+	return slices.ContainsFunc(r.Live(), func(d member.Daemon) bool { return d.Holder() == holder })
 }
 
 // Live returns the other daemons that were heard within the lease.
@@ -327,6 +327,15 @@
 	return sum
 }
 
+// Reachable returns the other daemons that were heard within the lease. A daemon that has just
+// started and heard none yet takes all members of the group for reachable.
+func (r *Roster) Reachable() []member.Daemon {
+	if live := r.Live(); len(live) > 0 {
+		return live
+	}
+	return r.Directory.Others()
+}
+
 // Dump is the shown state of a roster.
 type Dump struct {
 	Backends []fleet.Backend
@@ -376,7 +385,7 @@
 		From: &peerpb.Member{
 			Id: r.Self.ID, Name: r.Self.Name, Address: r.Self.Address, Zone: r.Self.Zone, Region: r.Self.Region,
 		},
-		Applied: r.Directory.Applied(), Draining: r.draining, Loads: loads,
+		Applied: r.Directory.Applied(), Draining: r.draining, Loads: loads, Boot: r.Self.Boot,
 	}
 	for i := range backends {
 		m.Backends = append(m.Backends, wire.BackendToPB(now, &backends[i]))
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -43,6 +43,7 @@
 	done    bool
 	finish  string
 	failure string
+	moved   bool
 	endedAt clock.Instant
 	changed chan struct{}
 }
@@ -130,6 +131,14 @@
 	r.End(now, "error")
 }
 
+// Move tells callers that another daemon relays the record now.
+func (r *Record) Move() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.moved = true
+	r.wake()
+}
+
 func (r *Record) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -141,6 +150,8 @@
 	Finish string
 	// Failure is set when the answer is not whole.
 	Failure string
+	// Moved is set when another daemon relays the record now; the caller resumes there.
+	Moved bool
 }
 
 // Next returns the shown tokens from index first on, waiting until there is one or the record
@@ -148,7 +159,7 @@
 func (r *Record) Next(ctx context.Context, first int) ([]string, End, error) {
 	for {
 		tokens, end, changed := r.poll(first)
-		if len(tokens) > 0 || end.Done {
+		if len(tokens) > 0 || end.Done || end.Moved {
 			return tokens, end, nil
 		}
 		select {
@@ -167,7 +178,7 @@
 		tokens = r.tokens[first:r.shown:r.shown]
 	}
 	complete := r.done && r.shown == len(r.tokens)
-	return tokens, End{Done: complete, Finish: r.finish, Failure: r.failure}, r.changed
+	return tokens, End{Done: complete, Finish: r.finish, Failure: r.failure, Moved: r.moved}, r.changed
 }
 
 // Piece is what a holder sends to a mirror: the tokens from index First on.
@@ -250,6 +261,13 @@
 	return r
 }
 
+// Drop forgets a record.
+func (t *Table) Drop(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.records, id)
+}
+
 // Replace puts a record in place of an earlier one with its ID.
 func (t *Table) Replace(r *Record) {
 	t.mu.Lock()
