--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -104,13 +104,18 @@
 	}
 	for _, d := range candidates {
 		// The first call may meet a pooled connection to an earlier run of the daemon.
-		if r.copyTo(ctx, d, record) == nil || r.copyTo(ctx, d, record) == nil {
-			return r.mirrorFor(d), true
+		for range copyTries {
+			if r.copyTo(ctx, d, record) == nil {
+				return r.mirrorFor(d), true
+			}
 		}
 	}
 	return nil, len(candidates) == 0
 }
 
+// copyTries is the number of calls to one daemon that is asked to mirror a request.
+const copyTries = 2
+
 // maxMirrorTries bounds the daemons tried as the mirror of one request.
 const maxMirrorTries = 2
 
