Hold the caller interface to its conventions; check operators' histories by porcupine

Cause: the conventions of the caller interface and linearizability were untested. Change: a table of requests with status, param and notRun; resume by event ID; replayed keys; a half-sent request; a caller that is gone; histories of four operators through three daemons, one of which is lost, checked against a register with versions.

--- /dev/null
+++ b/internal/local/caller_test.go
@@ -0,0 +1,235 @@
+package local
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"swiftbeam/internal/entry"
+	"swiftbeam/internal/fakes"
+	"swiftbeam/pkg/admin"
+)
+
+// send makes one caller's request with headers given as name and value in turn.
+func send(t *testing.T, d *Deployment, method, path, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	q, err := http.NewRequest(method, "http://"+d.Settings(0).Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		q.Header.Set(headers[i], headers[i+1])
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Body.Close()
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, string(data)
+}
+
+// TestCallerConventions holds the caller interface to the conventions that existing clients
+// expect.
+func TestCallerConventions(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 1})
+	engines(ctx, t, d, 1, nil)
+	book := &fakes.Book{}
+	if _, err := d.Ledger(book, Zones[0]); err != nil {
+		t.Fatal(err)
+	}
+	until(ctx, t, d, "the ledger is known", func() bool { return everywhere(d, "commission-ledger", 1) })
+	tests := []struct {
+		name, method, path, body string
+		headers                  []string
+		status                   int
+		param                    string
+		notRun                   bool
+	}{
+		{"unknown key", "POST", "/v1/completions", `{}`, []string{"Authorization", "Bearer x"}, 401, "", true},
+		{"empty key", "POST", "/v1/completions", `{}`, []string{"Authorization", "Bearer "}, 401, "", true},
+		{"no JSON", "POST", "/v1/completions", `{"model":`, nil, 400, "", true},
+		{"wrong type", "POST", "/v1/completions", `{"model": 7}`, nil, 400, "model", true},
+		{"no prompt", "POST", "/v1/completions", `{"model": "luthier-model"}`, nil, 400, "prompt", true},
+		{"no messages", "POST", "/v1/chat/completions", `{"model": "luthier-model"}`, nil, 400, "messages", true},
+		{"unknown model", "POST", "/v1/completions", `{"model": "x", "prompt": "p"}`, nil, 404, "model", true},
+		{"unknown route", "POST", "/v1/completions", `{"model": "luthier-model:x", "prompt": "p"}`, nil, 404, "model", true},
+		{"long body", "POST", "/v1/completions", `{"model": "` + strings.Repeat("x", 2<<20) + `"}`, nil, 400, "", true},
+		{"unknown path", "POST", "/nowhere", `{}`, nil, 404, "", true},
+		{"long key", "POST", "/deposits", `{}`, []string{"Idempotency-Key", strings.Repeat("k", 300)}, 400, "", true},
+		{"unknown request", "GET", "/v1/requests/req_x", ``, nil, 404, "", false},
+		{"whole answer", "POST", "/v1/completions", `{"model": "luthier-model", "prompt": "p", "max_tokens": 3}`, nil, 200, "", false},
+		{"whole chat", "POST", "/v1/chat/completions", `{"model": "luthier-model", "messages": [{"role": "user", "content": "p"}], "max_tokens": 3}`, nil, 200, "", false},
+		{"models", "GET", "/v1/models", ``, nil, 200, "", false},
+		{"health", "GET", "/healthz", ``, nil, 200, "", false},
+		{"ready", "GET", "/readyz", ``, nil, 200, "", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, body := send(t, d, test.method, test.path, test.body, test.headers...)
+			var e entry.ErrorAnswer
+			_ = json.Unmarshal([]byte(body), &e)
+			if r.StatusCode != test.status || e.Error.Param != test.param || e.Error.NotRun != test.notRun {
+				t.Errorf("got %d param %q notRun %v (%s), want %d %q %v", r.StatusCode, e.Error.Param, e.Error.NotRun, body, test.status, test.param, test.notRun)
+			}
+		})
+	}
+	t.Run("resume by event ID", func(t *testing.T) { checkResume(t, d) })
+	t.Run("idempotency key", func(t *testing.T) { checkKeys(t, d, book) })
+	t.Run("slow request", func(t *testing.T) { checkSlowRequest(t, d) })
+	t.Run("caller gone", func(t *testing.T) { checkCallerGone(ctx, t, d) })
+}
+
+func checkResume(t *testing.T, d *Deployment) {
+	r, body := send(t, d, "POST", "/v1/completions", `{"model": "luthier-model", "prompt": "p", "max_tokens": 6, "stream": true}`)
+	id := r.Header.Get("X-Request-Id")
+	_, rest := send(t, d, "GET", "/v1/requests/"+id, "", "Last-Event-ID", "4")
+	if !strings.HasPrefix(rest, "id: 5\n") || !strings.HasSuffix(body, rest) {
+		t.Errorf("got %q after event 4 of %q", rest, body)
+	}
+	if got := strings.Count(rest, "[DONE]"); got != 1 {
+		t.Errorf("got %d ends, want 1", got)
+	}
+}
+
+func checkKeys(t *testing.T, d *Deployment, book *fakes.Book) {
+	first, a := send(t, d, "POST", "/deposits", `{"cents": 1}`, "Idempotency-Key", "k")
+	again, b := send(t, d, "POST", "/deposits", `{"cents": 1}`, "Idempotency-Key", "k")
+	other, _ := send(t, d, "POST", "/deposits", `{"cents": 2}`, "Idempotency-Key", "k")
+	if first.StatusCode != 200 || again.StatusCode != 200 || a != b || again.Header.Get("Idempotent-Replayed") != "true" {
+		t.Errorf("got %d %q and %d %q, want the same answer replayed", first.StatusCode, a, again.StatusCode, b)
+	}
+	if got, want := other.StatusCode, 400; got != want {
+		t.Errorf("got %d for another body, want %d", got, want)
+	}
+	if got, want := book.Runs("oficina/deposits/k"), 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
+
+// checkSlowRequest sends half of a request and waits for the daemon to give up on it.
+func checkSlowRequest(t *testing.T, d *Deployment) {
+	d.Settings(0).Limits.ReadTimeout = 500
+	d.Kill(0)
+	if err := d.Run(0); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", d.Settings(0).Listen.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Le")
+	if _, err := bufio.NewReader(conn).ReadString('\n'); err != io.EOF && err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("got %v, want the connection closed", err)
+	}
+}
+
+// checkCallerGone drops a stream and waits until its engine is told to stop.
+func checkCallerGone(ctx context.Context, t *testing.T, d *Deployment) {
+	if err := d.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	until(ctx, t, d, "engines are known", func() bool { return everywhere(d, "luthier-model", 1) })
+	gone, cancel := context.WithCancel(ctx)
+	s := &streaming{}
+	s.start(gone, d.CallerAt(0), 1, 100_000)
+	s.begun.Wait()
+	cancel()
+	s.done.Wait()
+	until(ctx, t, d, "the request is cancelled", func() bool { return d.Daemon(0).Relay.Stats.Abandoned.Load() == 1 })
+}
+
+// write is an operation on one section in a history.
+type write struct {
+	base   uint64
+	number int
+}
+
+// TestOperatorHistoriesAreLinearizable lets operators write and read a section through all
+// daemons while one of them is lost, and checks the history by porcupine.
+func TestOperatorHistoriesAreLinearizable(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var wait sync.WaitGroup
+	for client := range 4 {
+		wait.Go(func() {
+			base := uint64(1)
+			for i := range 12 {
+				number := client*1000 + i
+				call := time.Now().UnixNano()
+				p := admin.PutSection{Base: base, Operation: fmt.Sprint("op-", number), Text: ModelSection(fmt.Sprint("v", number), "")}
+				version, err := d.OperatorAt((client + i) % 3).Put(ctx, "luthier-model", p)
+				end := time.Now().UnixNano()
+				out, known := outcomeOf(version, err)
+				if !known {
+					end = 1 << 62 // it may take effect at any later time
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: write{base, number}, Call: call, Output: out, Return: end})
+				mu.Unlock()
+				if known {
+					base = out.version
+				}
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	d.Kill(2)
+	wait.Wait()
+	if !porcupine.CheckOperations(sectionModel, history) {
+		t.Error("the history of section writes is not linearizable")
+	}
+}
+
+// written is what an operator learned: the version after the write, and whether it won.
+type written struct {
+	version uint64
+	won     bool
+	unknown bool
+}
+
+func outcomeOf(version uint64, err error) (written, bool) {
+	if err == nil {
+		return written{version: version, won: true}, true
+	}
+	answer, ok := err.(*admin.Error) //nolint:errorlint // the client returns it unwrapped
+	if ok && answer.Status == http.StatusConflict {
+		return written{version: answer.Version}, true
+	}
+	return written{unknown: true}, false
+}
+
+// sectionModel is a register with a version: a write wins when its base is the present version.
+var sectionModel = porcupine.Model{
+	Init: func() any { return uint64(1) },
+	Step: func(state, input, output any) (bool, any) {
+		version, in, out := state.(uint64), input.(write), output.(written)
+		wins := in.base == version
+		switch {
+		case out.unknown && wins:
+			return true, version + 1
+		case out.unknown:
+			return true, version
+		case out.won:
+			return wins && out.version == version+1, version + 1
+		}
+		return !wins && out.version == version, version
+	},
+}
