--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -60,7 +60,8 @@
 // TestStatefulMove drives a move by random evidence and checks its invariants after each step.
 func TestStatefulMove(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &state.Move{Service: "s", From: "v1", To: "v2", FinishBy: 2_400_000, Trial: 2, Revision: 1}
+		m := &state.Move{Service: "s", From: "v1", To: "v2", FinishBy: 2_400_000, Revision: 1}
+		m.Trial = rapid.SampledFrom([]int{2, 20, 50}).Draw(t, "trial")
 		now := clock.Instant(0)
 		in := Inputs{ReadyOld: 10, Routes: []RouteSeen{{Route: "a"}, {Route: "b"}}}
 		pacer := &Pacer{}
@@ -76,21 +77,18 @@
 			"fault":   func(*rapid.T) { in.Fault = &Finding{Reason: state.MoreErrors} },
 			"suspect": func(*rapid.T) { in.Suspicion = &Finding{Reason: state.MoreErrors}; in.Faults++ },
 			"clear":   func(*rapid.T) { in.Suspicion = nil },
-			"request": func(t *rapid.T) {
-				a := Ask{
-					Now: now, Settled: "v1", Route: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"), ReadyOld: 10,
-					Draw: rapid.Uint64().Draw(t, "draw"), Braked: rapid.Bool().Draw(t, "braked"),
-				}
-				got := pacer.Pick(m, a)
-				seen[a.Route]++
-				if got == "v2" {
-					given[a.Route]++
-				}
-				if got == "v2" && (a.Braked || m.Share == 0 || m.Stage.Ended() || m.Stage == state.Waiting) {
-					t.Fatalf("a request went to the new version in stage %v at share %d, braked %v", m.Stage, m.Share, a.Braked)
-				}
-				if m.Stage == state.Trial && got == "v2" && given[a.Route]*100 > seen[a.Route]*m.Trial {
-					t.Fatalf("route %s: %d of %d requests went to the version on trial, want at most %d%%", a.Route, given[a.Route], seen[a.Route], m.Trial)
+			"requests": func(t *rapid.T) {
+				for range rapid.IntRange(1, 60).Draw(t, "requests") {
+					now = now.Add(500)
+					a := Ask{
+						Now: now, Settled: "v1", Route: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "route"), ReadyOld: 10,
+						Draw: rapid.Uint64().Draw(t, "draw"), Braked: rapid.IntRange(0, 9).Draw(t, "braked") == 0,
+					}
+					seen[a.Route]++
+					if pacer.Pick(m, a) == "v2" {
+						given[a.Route]++
+						checkGiven(t, m, a, seen[a.Route], given[a.Route])
+					}
 				}
 			},
 			"decide": func(t *rapid.T) { decideOnce(t, now, m, in) },
@@ -99,6 +97,16 @@
 	})
 }
 
+// checkGiven checks a request that went to the new version.
+func checkGiven(t *rapid.T, m *state.Move, a Ask, seen, given int) {
+	if a.Braked || m.Share == 0 || m.Stage.Ended() || m.Stage == state.Waiting {
+		t.Fatalf("a request went to the new version in stage %v at share %d, braked %v", m.Stage, m.Share, a.Braked)
+	}
+	if m.Stage == state.Trial && given*100 > seen*m.Trial {
+		t.Fatalf("route %s: %d of %d requests went to the version on trial, want at most %d%%", a.Route, given, seen, m.Trial)
+	}
+}
+
 func decideOnce(t *rapid.T, now clock.Instant, m *state.Move, in Inputs) {
 	before := *m
 	step, ok := Decide(now, m, in)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -34,28 +34,38 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := &Pool{Costs: DefaultCosts, Daemons: 3}
 		present := map[member.Key]uint64{}
+		failedAt := map[member.Key]clock.Instant{}
 		now := clock.Instant(1000)
 		draw := func(t *rapid.T, what string, most int) int { return rapid.IntRange(0, most).Draw(t, what) }
 		t.Repeat(map[string]func(*rapid.T){
 			"put": func(t *rapid.T) {
 				b := backend(draw(t, "server", 29), uint64(draw(t, "incarnation", 2)), draw(t, "load", 40))
 				p.Put(b)
-				present[member.KeyOf(b)] = b.Incarnation
+				key := member.KeyOf(b)
+				if old, known := present[key]; !known || old != b.Incarnation {
+					present[key] = b.Incarnation
+					delete(failedAt, key)
+				}
 			},
 			"remove": func(t *rapid.T) {
 				key := member.KeyOf(backend(draw(t, "server", 29), 1, 0))
 				p.Remove(key)
 				delete(present, key)
+				delete(failedAt, key)
 			},
 			"choose": func(t *rapid.T) {
 				now = now.Add(clock.Duration(draw(t, "time", 1500)))
 				q := &Query{Now: now, Draw: rapid.Uint64().Draw(t, "draw"), Zone: "z0", Prefixes: []uint64{1, uint64(draw(t, "prefix", 5)) + 2}}
 				q.Avoid = backend(draw(t, "avoid", 29), 1, 0).Address
 				c := p.Choose(rapid.SampledFrom(policies).Draw(t, "policy"), q)
-				checkChoice(t, p, q, c, present)
+				checkChoice(t, q, c, present, failedAt)
 				if c.Server != nil {
+					fails := draw(t, "fails", 3) == 0
 					p.Started(c.Server, q.Prefixes)
-					p.Finished(now, c.Server, Outcome{Failed: draw(t, "fails", 3) == 0})
+					p.Finished(now, c.Server, Outcome{Failed: fails})
+					if fails {
+						failedAt[c.Server.Key] = now
+					}
 				}
 			},
 			"": func(t *rapid.T) { checkIndex(t, p, present) },
@@ -63,7 +73,8 @@
 	})
 }
 
-func checkChoice(t *rapid.T, p *Pool, q *Query, c Choice, present map[member.Key]uint64) {
+// checkChoice holds a choice to the present servers and the failures that the test itself saw.
+func checkChoice(t *rapid.T, q *Query, c Choice, present map[member.Key]uint64, failedAt map[member.Key]clock.Instant) {
 	if c.Server == nil {
 		if len(present) > 0 {
 			t.Fatalf("got no server, want one of %d", len(present))
@@ -73,12 +84,17 @@
 	if _, ok := present[c.Server.Key]; !ok {
 		t.Fatalf("got server %v, which is not present", c.Server.Key)
 	}
-	if c.Why == ByLuck || usable(c.Server, q) {
+	rests := func(key member.Key) bool {
+		at, failed := failedAt[key]
+		return failed && q.Now.Sub(at) < suspectTime || key.Address == q.Avoid
+	}
+	// A policy that looks at a few random servers may find none of them usable.
+	if c.Why == ByLuck || !rests(c.Server.Key) {
 		return
 	}
-	for _, s := range p.Servers {
-		if usable(s, q) {
-			t.Fatalf("got unusable server %v (%v), want a usable one such as %v", c.Server.Key, c.Why, s.Key)
+	for key := range present {
+		if !rests(key) {
+			t.Fatalf("got server %v (%v), which failed or is avoided, want another such as %v", c.Server.Key, c.Why, key)
 		}
 	}
 }
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -20,7 +20,7 @@
 		mirror := Restore(0, holder.Piece(0))
 		var pieces []Piece
 		var seen []string
-		count, acked := 0, 0
+		count, acked, forgot := 0, 0, false
 		read := func(r *Record) {
 			tokens, _, _ := r.poll(len(seen))
 			seen = append(seen, tokens...)
@@ -44,17 +44,23 @@
 				}
 			},
 			"read": func(*rapid.T) { read(holder) },
+			"restart": func(*rapid.T) {
+				// The mirror starts anew from the request alone; later pieces leave a gap.
+				mirror, forgot = Restore(0, Piece{Request: holder.Request, Holder: "a", Epoch: 2}), true
+			},
 			"": func(t *rapid.T) {
-				if got, want := len(seen), len(mirror.State().Tokens); got > want {
-					t.Fatalf("the caller saw %d tokens, the mirror has %d", got, want)
-				}
-				for i, token := range seen {
-					if token != fmt.Sprint(i) {
-						t.Fatalf("got token %q at place %d", token, i)
-					}
+				held := mirror.State().Tokens
+				forgot = forgot && len(held) < acked
+				if !forgot && len(seen) > len(held) {
+					t.Fatalf("the caller saw %d tokens, the mirror has %d", len(seen), len(held))
 				}
+				checkTokens(t, seen)
+				checkTokens(t, held)
 			},
 		})
+		if forgot {
+			return
+		}
 		read(mirror)
 		for i, token := range mirror.State().Tokens {
 			if i >= len(seen) || seen[i] != token {
@@ -64,6 +70,14 @@
 	})
 }
 
+func checkTokens(t *rapid.T, tokens []string) {
+	for i, token := range tokens {
+		if token != fmt.Sprint(i) {
+			t.Fatalf("got token %q at place %d", token, i)
+		}
+	}
+}
+
 func TestRecordEndsOnce(t *testing.T) {
 	r := NewRecord(Request{ID: "r"})
 	r.Append("a")
