--- a/internal/buyer/buyer.go
+++ b/internal/buyer/buyer.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -63,27 +62,18 @@
 // Start begins to decide whenever this daemon leads.
 func (b *Buyer) Start(ctx context.Context, g *kernel.Group) error {
 	b.controls = make(map[string]*scale.Control)
-	g.Go(func() { b.run(ctx) })
+	g.Go(func() { kernel.Every(ctx, Interval, func() { b.round(ctx) }) })
 	return nil
 }
 
-func (b *Buyer) run(ctx context.Context) {
-	timer := time.NewTicker(Interval.Std())
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		if b.Store.Status().Role != quorum.Leader {
-			clear(b.controls)
-			b.pending = nil
-			continue
-		}
-		for _, m := range b.markets() {
-			b.decide(ctx, m)
-		}
+func (b *Buyer) round(ctx context.Context) {
+	if b.Store.Status().Role != quorum.Leader {
+		clear(b.controls)
+		b.pending = nil
+		return
+	}
+	for _, m := range b.markets() {
+		b.decide(ctx, m)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
@@ -76,18 +75,7 @@
 
 // Start begins to start waiting requests as capacity grows.
 func (e *Entry) Start(ctx context.Context, g *kernel.Group) error {
-	g.Go(func() {
-		timer := time.NewTicker(doorPause.Std())
-		defer timer.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-timer.C:
-				e.door.tick()
-			}
-		}
-	})
+	g.Go(func() { kernel.Every(ctx, doorPause, e.door.tick) })
 	return nil
 }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -163,3 +163,17 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls f at each interval until ctx ends. A call that takes longer delays the next.
+func Every(ctx context.Context, interval clock.Duration, f func()) {
+	timer := time.NewTicker(interval.Std())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			f()
+		}
+	}
+}
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -12,7 +12,6 @@
 	"hash/fnv"
 	"slices"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
@@ -74,7 +73,7 @@
 	p.totals = make(map[moves.Scope]*moves.Tally)
 	p.heard = make(map[string]map[moves.Scope]moves.Tally)
 	p.mu.Unlock()
-	g.Go(func() { p.run(ctx) })
+	g.Go(func() { kernel.Every(ctx, ReportInterval, func() { p.round(ctx) }) })
 	return nil
 }
 
@@ -221,22 +220,13 @@
 	}
 }
 
-func (p *Pilot) run(ctx context.Context) {
-	timer := time.NewTicker(ReportInterval.Std())
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		status := p.Store.Status()
-		if status.Role == quorum.Leader {
-			p.Collect(p.report())
-			p.decide(ctx)
-		} else if status.LeaderAt != "" {
-			p.send(ctx, status.LeaderAt)
-		}
+func (p *Pilot) round(ctx context.Context) {
+	status := p.Store.Status()
+	if status.Role == quorum.Leader {
+		p.Collect(p.report())
+		p.decide(ctx)
+	} else if status.LeaderAt != "" {
+		p.send(ctx, status.LeaderAt)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,7 +87,7 @@
 	r.left = ring.New[fleet.Backend](leaveRing)
 	r.Table.Keep = KeepEnded
 	g.Go(func() { r.watchServers(ctx) })
-	g.Go(func() { r.sweep(ctx) })
+	g.Go(func() { kernel.Every(ctx, sweepPause, r.sweep) })
 	return nil
 }
 
@@ -332,20 +332,17 @@
 )
 
 // sweep cancels requests that no caller reads and forgets old answers.
-func (r *Relay) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		kernel.Pause(ctx, sweepPause)
-		now := r.Clock.Now()
-		r.mu.Lock()
-		for _, x := range r.runs {
-			if now.Sub(x.readAt) > ResumeGrace {
-				x.abandoned = true
-				x.cancel()
-			}
+func (r *Relay) sweep() {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	for _, x := range r.runs {
+		if now.Sub(x.readAt) > ResumeGrace {
+			x.abandoned = true
+			x.cancel()
 		}
-		r.mu.Unlock()
-		r.Table.Sweep(now)
 	}
+	r.mu.Unlock()
+	r.Table.Sweep(now)
 }
 
 // ServerLeft is told of backend servers that receive no more work.
