Answer by client certificate, survive silent engines, bound retries; mend a start-up race

Client certificates, silent engines and the retry budget of the issue were untested or missing.

The stand-in counts cancels that reach it also when the request is gone already, as the count's name says.

--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"swiftbeam/internal/setup"
+	"swiftbeam/pkg/admin"
+	"swiftbeam/pkg/clock"
+)
+
+// authority signs the certificates of a test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	folder      string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{folder: t.TempDir()}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	a.key = newKey(t)
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.certificate, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	a.write(t, "ca.pem", "CERTIFICATE", der)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func (a *authority) path(name string) string { return filepath.Join(a.folder, name) }
+
+func (a *authority) write(t *testing.T, name, kind string, der []byte) {
+	t.Helper()
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	if err := os.WriteFile(a.path(name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// issue writes name.pem and name.key for a common name on loopback.
+func (a *authority) issue(t *testing.T, name string) tls.Certificate {
+	t.Helper()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, KeyUsage: x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	key := newKey(t)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.write(t, name+".pem", "CERTIFICATE", der)
+	a.write(t, name+".key", "EC PRIVATE KEY", private)
+	pair, err := tls.LoadX509KeyPair(a.path(name+".pem"), a.path(name+".key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pair
+}
+
+func (a *authority) client(certificates ...tls.Certificate) *http.Client {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, Certificates: certificates, MinVersion: tls.VersionTLS12}}}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestOperatorsByClientCertificate lets an operator in by the common name of a certificate of the
+// authority, and nobody else.
+func TestOperatorsByClientCertificate(t *testing.T) {
+	ours, others := newAuthority(t), newAuthority(t)
+	ours.issue(t, "server")
+	listen := setup.Listen{Callers: freeAddress(t), Peers: freeAddress(t), Admin: freeAddress(t)}
+	d, err := New(&setup.Settings{
+		Name: "entry-1", Zone: "z", Region: "r", Listen: listen, DataFolder: t.TempDir(), Voters: 1,
+		FirstVoters: []string{listen.Peers}, PeerToken: "a token between daemons",
+		Operators: []setup.Principal{{Name: "model-team", CommonName: "model-team", Names: []string{"luthier-*"}}},
+		TLS:       &setup.TLS{Certificate: ours.path("server.pem"), Key: ours.path("server.key"), ClientCA: ours.path("ca.pem")},
+		Lease:     3 * clock.Second, Limits: setup.DefaultLimits,
+	}, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := d.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	defer d.Kill()
+	for !d.Standing().Accepts() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	text := `{"kind": "service", "type": "engine", "version": "v1", "routes": [{"name": "a"}]}`
+	tests := []struct {
+		name    string
+		client  *http.Client
+		section string
+		status  int
+	}{
+		{"own section", ours.client(ours.issue(t, "model-team")), "luthier-model", 0},
+		{"another team's section", ours.client(ours.issue(t, "model-team")), "commission-ledger", http.StatusForbidden},
+		{"unknown common name", ours.client(ours.issue(t, "someone")), "luthier-model", http.StatusForbidden},
+		{"no certificate", ours.client(), "luthier-model", http.StatusForbidden},
+		{"certificate of another authority", ours.client(others.issue(t, "model-team")), "luthier-model", -1},
+	}
+	for _, test := range tests {
+		c := admin.Client{Address: "https://" + listen.Admin, HTTP: test.client}
+		_, err := c.Put(ctx, test.section, admin.PutSection{Operation: test.name, Text: text})
+		if got := statusOf(err); got != test.status {
+			t.Errorf("%s: got status %d (%v), want %d", test.name, got, err, test.status)
+		}
+	}
+}
+
+// statusOf returns the status of an answer, 0 for success and -1 when there was no answer.
+func statusOf(err error) int {
+	var answer *admin.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &answer):
+		return answer.Status
+	}
+	return -1
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,8 +73,9 @@
 	Resumed  atomic.Int64
 }
 
-// Start begins to start waiting requests as capacity grows.
+// Start begins to look after waiting requests.
 func (e *Entry) Start(ctx context.Context, g *kernel.Group) error {
+	e.door.entry = e
 	g.Go(func() { kernel.Every(ctx, doorPause, e.door.tick) })
 	return nil
 }
@@ -85,9 +86,8 @@
 // Loads returns the running requests of each client account and service.
 func (e *Entry) Loads() []*peerpb.AccountLoad { return e.door.loads() }
 
-// Handler returns the HTTP handler for callers.
+// Handler returns the HTTP handler for callers. It may serve once Start returned.
 func (e *Entry) Handler() http.Handler {
-	e.door.entry = e
 	r := mux.NewRouter()
 	if e.Announce != nil {
 		r.Handle(admin.AnnouncePath, e.Announce).Methods(http.MethodPost)
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -52,7 +52,10 @@
 	// NoExport turns off KV cache export.
 	NoExport bool
 
-	// Requests counts calls, Recomputed the tokens that a resumed call made the engine compute
+	// Frozen makes the engine send nothing while its connections stay open.
+	Frozen atomic.Bool
+
+	// Requests counts calls, Cancelled cancels, Recomputed the tokens that a resumed call made the engine compute
 	// again, Generated the tokens sent, Mismatched the resumes that did not fit the answer.
 	Requests   atomic.Int64
 	Recomputed atomic.Int64
@@ -231,6 +234,9 @@
 	out := http.NewResponseController(w)
 	for i := len(c.Swiftbeam.Resume); i < end; i++ {
 		sleep(ctx, f.slow(e.Gap))
+		for e.Frozen.Load() && ctx.Err() == nil {
+			sleep(ctx, frozenCheck)
+		}
 		select {
 		case <-a.exported:
 			writeFinish(w, "exported")
@@ -250,6 +256,9 @@
 	writeFinish(w, "stop")
 }
 
+// frozenCheck is the pause between two looks at Frozen.
+const frozenCheck = 20 * time.Millisecond
+
 func (e *Engine) checkResume(prompt string, resume []string) {
 	for i, token := range resume {
 		if token != Token(prompt, i) {
@@ -279,8 +288,8 @@
 	e.mu.Lock()
 	a := e.active[q.RequestID]
 	e.mu.Unlock()
+	e.Cancelled.Add(1)
 	if a != nil {
-		e.Cancelled.Add(1)
 		a.cancel()
 	}
 }
--- /dev/null
+++ b/internal/limit/budget.go
@@ -0,0 +1,26 @@
+package limit
+
+// Budget bounds retries to a part of the requests, so that retries do not grow an overload. The
+// zero value allows none; its owner serialises the calls.
+type Budget struct {
+	// Percent is the number of retries that 100 requests earn.
+	Percent int
+	// Most bounds the retries that are saved up.
+	Most int
+
+	saved int
+}
+
+// Earn counts a new request.
+func (b *Budget) Earn() {
+	b.saved = min(b.saved+b.Percent, 100*b.Most)
+}
+
+// Spend takes one retry and reports whether there was one.
+func (b *Budget) Spend() bool {
+	if b.saved < 100 {
+		return false
+	}
+	b.saved -= 100
+	return true
+}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -180,3 +180,27 @@
 		t.Errorf("got started %v, want %v", got, want)
 	}
 }
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := &Budget{Percent: 20, Most: 10}
+	spent := 0
+	for range 1000 {
+		b.Earn()
+		if b.Spend() {
+			spent++
+		}
+	}
+	if got, want := spent, 200; got != want {
+		t.Errorf("got %d retries for 1000 requests, want %d", got, want)
+	}
+	for range 1000 {
+		b.Earn()
+	}
+	burst := 0
+	for b.Spend() {
+		burst++
+	}
+	if got, want := burst, 10; got != want {
+		t.Errorf("got a burst of %d retries, want %d", got, want)
+	}
+}
--- a/internal/local/caller_test.go
+++ b/internal/local/caller_test.go
@@ -91,6 +91,7 @@
 	t.Run("resume by event ID", func(t *testing.T) { checkResume(t, d) })
 	t.Run("idempotency key", func(t *testing.T) { checkKeys(t, d, book) })
 	t.Run("slow request", func(t *testing.T) { checkSlowRequest(t, d) })
+	t.Run("long stream", func(t *testing.T) { checkLongStream(ctx, t, d) })
 	t.Run("caller gone", func(t *testing.T) { checkCallerGone(ctx, t, d) })
 }
 
@@ -140,6 +141,20 @@
 	}
 }
 
+// checkLongStream streams for longer than a request may take to arrive.
+func checkLongStream(ctx context.Context, t *testing.T, d *Deployment) {
+	if err := d.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	until(ctx, t, d, "engines are known", func() bool { return everywhere(d, "luthier-model", 1) })
+	s := &streaming{}
+	s.start(ctx, d.CallerAt(0), 1, 300)
+	s.check(t)
+	if got := s.answers[0].Resumes; got != 0 {
+		t.Errorf("got %d resumes, want none", got)
+	}
+}
+
 // checkCallerGone drops a stream and waits until its engine is told to stop.
 func checkCallerGone(ctx context.Context, t *testing.T, d *Deployment) {
 	if err := d.WaitReady(ctx); err != nil {
--- a/internal/local/failure_test.go
+++ b/internal/local/failure_test.go
@@ -219,6 +219,21 @@
 	}
 }
 
+// TestStreamsSurviveSilentConnections freezes an engine in mid-stream. Its connections stay open
+// and it goes on announcing itself.
+func TestStreamsSurviveSilentConnections(t *testing.T) {
+	ctx, d := begin(t, Options{Daemons: 3})
+	list := engines(ctx, t, d, 2, nil)
+	s := &streaming{}
+	s.start(ctx, d.Caller(), 12, 300)
+	s.begun.Wait()
+	list[0].Frozen.Store(true)
+	s.check(t)
+	if list[0].Cancelled.Load() == 0 {
+		t.Error("got no cancel at the silent engine, want one over a fresh connection")
+	}
+}
+
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
 	ctx, d := begin(t, Options{Daemons: 3})
 	list := engines(ctx, t, d, 2, nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/limit"
 	"swiftbeam/internal/member"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/peers"
@@ -70,6 +71,7 @@
 	Stats Stats
 
 	mu      sync.Mutex
+	budget  limit.Budget
 	runs    map[string]*run
 	mirrors map[string]*mirror
 	left    *ring.Ring[fleet.Backend]
@@ -83,6 +85,10 @@
 func (r *Relay) Start(ctx context.Context, g *kernel.Group) error {
 	r.ctx, r.group = ctx, g
 	r.runs = make(map[string]*run)
+	r.budget = limit.Budget{Percent: retryPercent, Most: maxRetries}
+	for range 100 * maxRetries / retryPercent {
+		r.budget.Earn()
+	}
 	r.mirrors = make(map[string]*mirror)
 	r.left = ring.New[fleet.Backend](leaveRing)
 	r.Table.Keep = KeepEnded
@@ -129,6 +135,7 @@
 	x.route = r.Route(record.Service, record.Route)
 	x.sent = len(record.State().Tokens)
 	r.mu.Lock()
+	r.budget.Earn()
 	r.runs[record.ID] = x
 	r.mu.Unlock()
 	r.group.Go(func() {
@@ -137,6 +144,19 @@
 	})
 }
 
+// The retry budget: retries in 100 requests, and the most that are saved up.
+const (
+	retryPercent = 20
+	maxRetries   = 50
+)
+
+// mayRetry reports whether the retry budget allows another attempt now. Reclaims do not count.
+func (r *Relay) mayRetry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.budget.Spend()
+}
+
 func (r *Relay) forget(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -85,13 +85,22 @@
 			return
 		case !out.moved:
 			x.failures++
-			kernel.Pause(ctx, clock.Duration(x.failures)*acquireStep)
+			x.backOff(ctx)
 		}
 		x.relay.Stats.Resumed.Add(1)
 	}
 	x.giveUp()
 }
 
+// backOff waits before the next attempt: longer after each failure, and for a second where the
+// retry budget is spent. An accepted request is never dropped for want of budget.
+func (x *run) backOff(ctx context.Context) {
+	kernel.Pause(ctx, clock.Duration(x.failures)*acquireStep)
+	if !x.relay.mayRetry() {
+		kernel.Pause(ctx, clock.Second)
+	}
+}
+
 func (x *run) call() engine.Call {
 	return engine.Call{
 		ID: x.record.ID, Body: x.record.Body, Chat: x.record.Chat, Priority: int(x.route.Priority),
