Leave out gossip with nothing to tell; count the bytes of a daemon's connections

Net.SentBytes was declared and never counted. Change: a round without news is left out; the full round each second stays, and news still leaves at once. Bytes are counted on the connections and exported; the slope of call bytes uses the same count.

--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -48,6 +48,7 @@
 // measure registers the counters that /metrics shows.
 func (d *Daemon) measure() {
 	counters := map[string]*atomic.Int64{
+		"peers.bytes":      &d.Net.Bytes,
 		"entry.accepted":   &d.Entry.Stats.Accepted,
 		"entry.refused":    &d.Entry.Stats.Refused,
 		"entry.resumed":    &d.Entry.Stats.Resumed,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -61,8 +61,8 @@
 type Net struct {
 	options Options
 	client  *http.Client
-	// SentBytes counts request and response bodies of all calls.
-	SentBytes atomic.Int64
+	// Bytes counts what the connections that this daemon opened carried, in both directions.
+	Bytes atomic.Int64
 
 	mu      sync.Mutex
 	senders map[string]*ring.Ring[quorum.Message]
@@ -76,18 +76,44 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{Timeout: DeliverTimeout.Std()}).DialContext
 	}
-	transport := &http.Transport{
-		DialContext:         o.Dial,
-		TLSClientConfig:     o.TLS,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &Net{
+	n := &Net{
 		options: o,
-		client:  &http.Client{Transport: transport},
 		senders: make(map[string]*ring.Ring[quorum.Message]),
 		clients: make(map[string]peerpbconnect.PeersClient),
 	}
+	n.client = &http.Client{Transport: &http.Transport{
+		DialContext:         n.dial,
+		TLSClientConfig:     o.TLS,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     30 * time.Second,
+	}}
+	return n
+}
+
+func (n *Net) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := n.options.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &counted{Conn: c, bytes: &n.Bytes}, nil
+}
+
+// counted counts the bytes of a connection.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // Start allows sending until ctx ends.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -71,9 +71,11 @@
 	pools    map[poolKey]*route.Pool
 	loads    map[string][]*peerpb.AccountLoad
 	draining bool
-	urgent   *ring.Ring[struct{}]
-	busy     map[string]bool
-	fullAt   clock.Instant
+	// toldDrain is the value of draining in the last message.
+	toldDrain bool
+	urgent    *ring.Ring[struct{}]
+	busy      map[string]bool
+	fullAt    clock.Instant
 }
 
 type poolKey struct {
@@ -360,7 +362,9 @@
 		r.take(r.table.Tick(r.Clock.Now()))
 		request := r.message(loads)
 		r.mu.Unlock()
-		r.spread(ctx, g, request)
+		if request != nil {
+			r.spread(ctx, g, request)
+		}
 	}
 }
 
@@ -373,11 +377,17 @@
 	return r.Loads()
 }
 
-// message returns what changed since the last round, or all when that is due.
+// message returns what changed since the last round, or all when that is due. It returns nil when
+// there is nothing to tell.
 func (r *Roster) message(loads []*peerpb.AccountLoad) *peerpb.GossipRequest {
 	now := r.Clock.Now()
 	backends := r.table.TakeFresh()
-	if !now.Before(r.fullAt) {
+	full := !now.Before(r.fullAt)
+	if !full && len(backends) == 0 && len(loads) == 0 && r.draining == r.toldDrain {
+		return nil
+	}
+	r.toldDrain = r.draining
+	if full {
 		r.fullAt = now.Add(FullInterval)
 		backends = r.table.All()
 	}
--- a/internal/slope/measure.go
+++ b/internal/slope/measure.go
@@ -150,24 +150,6 @@
 	})
 }
 
-// counted counts the bytes of a connection.
-type counted struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c counted) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c counted) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // echo is a daemon that takes gossip and does nothing.
 type echo struct {
 	peerpbconnect.UnimplementedPeersHandler
@@ -181,7 +163,6 @@
 // caller returns a function that makes one call with a payload over loopback, and the count of
 // its bytes.
 func caller(size int) (call func(), bytes *atomic.Int64, stop func()) {
-	bytes = &atomic.Int64{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic("slope: " + err.Error())
@@ -190,14 +171,11 @@
 	mux.Handle(peerpbconnect.NewPeersHandler(echo{}))
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(l) }()
-	n := peers.New(peers.Options{Token: "a token of usual length", Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		return counted{Conn: c, bytes: bytes}, err
-	}})
+	n := peers.New(peers.Options{Token: "a token of usual length"})
 	client := n.Client(l.Addr().String())
 	request := &peerpb.GossipRequest{From: &peerpb.Member{Name: string(make([]byte, size))}}
 	call = func() { _, _ = client.Gossip(context.Background(), connect.NewRequest(request)) }
-	return call, bytes, func() { _ = server.Close() }
+	return call, &n.Bytes, func() { _ = server.Close() }
 }
 
 func callTime(size int) float64 {
