--- a/cmd/swiftbeam/capacity.go
+++ b/cmd/swiftbeam/capacity.go
@@ -13,13 +13,16 @@
 )
 
 func capacityCommand() *cobra.Command {
-	var folder string
+	var folder, earlier string
 	c := &cobra.Command{
 		Use:   "capacity",
 		Short: "Measure how costs grow with size; the data of docs/CAPACITY.md",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			list := slope.All()
+			list, err := slopes(earlier)
+			if err != nil {
+				return err
+			}
 			printSlopes(list)
 			if folder == "" {
 				return nil
@@ -27,10 +30,36 @@
 			return writeSlopes(folder, list)
 		},
 	}
-	c.Flags().StringVar(&folder, "out", "", "folder for slopes.json and slopes.png")
+	c.Flags().StringVar(&folder, "out", "", "folder for slopes.json, the table slopes.md and the plot slopes.png")
+	c.Flags().StringVar(&earlier, "from", "", "slopes.json of an earlier run, to write table and plot without measuring")
 	return c
 }
 
+// slopes measures, or reads an earlier run.
+func slopes(earlier string) ([]slope.Series, error) {
+	if earlier == "" {
+		return slope.All(), nil
+	}
+	data, err := os.ReadFile(earlier)
+	if err != nil {
+		return nil, invalidInput{err}
+	}
+	var list []slope.Series
+	if err := json.Unmarshal(data, &list); err != nil {
+		return nil, invalidInput{err}
+	}
+	return list, nil
+}
+
+// table returns the slopes as a Markdown table.
+func table(list []slope.Series) string {
+	text := "| series | driver | slope | intercept | fit | unit |\n| --- | --- | --- | --- | --- | --- |\n"
+	for _, s := range list {
+		text += fmt.Sprintf("| %s | %s | %.4g | %.4g | %.3f | %s |\n", s.Name, s.Driver, s.Slope, s.Intercept, s.Fit, s.Unit)
+	}
+	return text
+}
+
 func printSlopes(list []slope.Series) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tDRIVER\tSLOPE\tINTERCEPT\tFIT\tUNIT")
@@ -48,5 +77,8 @@
 	if err := os.WriteFile(filepath.Join(folder, "slopes.json"), append(data, '\n'), 0o600); err != nil {
 		return err
 	}
+	if err := os.WriteFile(filepath.Join(folder, "slopes.md"), []byte(table(list)), 0o600); err != nil {
+		return err
+	}
 	return slope.Plot(filepath.Join(folder, "slopes.png"), list)
 }
