Count daemons without listing them; say what the buyer does with lost orders

Each routing choice, each admission and each look at the standing listed and sorted all daemons to learn their number; the relay filled its retry budget by 250 calls of Earn; the buyer's comment claimed that orders of a lost leader are taken over, which no code does, and an order that was not granted would have counted as given. Change: Table.Heard counts without allocating and serves all three; limit.NewBudget; the comment says what happens; an order that is not granted is an error. Measured: tests of member, limit, once, daemon, route and the streams, capacity, planned stop and conventions over sockets green; linter clean. Conclusion: behaviour is unchanged but for the order that is not granted, which the unique operation IDs do not let happen today.

--- a/internal/buyer/buyer.go
+++ b/internal/buyer/buyer.go
@@ -5,7 +5,8 @@
 //	err := b.Start(ctx, group)
 //
 // Each order is taken in the replicated state first, which gives it a fencing number, then given,
-// then ended. An order that a lost leader had taken is taken over with a higher number.
+// then ended. A new leader gives orders of its own under higher numbers; what a lost leader had
+// taken and not ended stays in the state as it was.
 package buyer
 
 import (
@@ -15,6 +16,7 @@
 	"github.com/go-logr/logr"
 
 	"swiftbeam/internal/cloud"
+	"swiftbeam/internal/fault"
 	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/roster"
@@ -204,9 +206,12 @@
 	b.sequence++
 	operation := fmt.Sprintf("%s/%d/%d", b.Self, b.Store.Status().Term, b.sequence)
 	taken, err := b.Store.Propose(ctx, state.TakeOrder{Operation: operation, Target: target, Kind: kind, Holder: b.Self})
-	if err != nil || taken.Code != state.Done {
+	if err != nil {
 		return err
 	}
+	if taken.Code != state.Done {
+		return fault.New(fault.Conflict, "order %s was not granted: %v", operation, taken.Code)
+	}
 	done := do(ctx, operation, taken.Fence)
 	_, err = b.Store.Propose(ctx, state.EndOrder{Operation: operation, Fence: taken.Fence, Done: done == nil})
 	if done != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -231,7 +231,7 @@
 	return lease.Decide(d.options.Clock.Now(), lease.Inputs{
 		CaughtUp: d.caughtUp.Load(), Draining: d.draining.Load(),
 		ContactAt: status.ContactAt, Lease: d.Settings.Lease,
-		Daemons: len(status.Members), Live: len(d.Roster.Live()) + 1,
+		Daemons: len(status.Members), Live: d.Roster.Daemons(),
 	})
 }
 
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -11,6 +11,11 @@
 	saved int
 }
 
+// NewBudget returns a budget with all the retries that it may save.
+func NewBudget(percent, most int) Budget {
+	return Budget{Percent: percent, Most: most, saved: 100 * most}
+}
+
 // Earn counts a new request.
 func (b *Budget) Earn() {
 	b.saved = min(b.saved+b.Percent, 100*b.Most)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -222,6 +222,17 @@
 	return live
 }
 
+// Heard returns the number of daemons heard within the lease. It does not allocate.
+func (t *Table) Heard(now clock.Instant) int {
+	count := 0
+	for _, d := range t.Daemons {
+		if now.Sub(d.HeardAt) <= t.Lease {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *Table) prepare() {
 	if t.Backends == nil {
 		t.Backends = make(map[Key]*fleet.Backend)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,10 +85,7 @@
 func (r *Relay) Start(ctx context.Context, g *kernel.Group) error {
 	r.ctx, r.group = ctx, g
 	r.runs = make(map[string]*run)
-	r.budget = limit.Budget{Percent: retryPercent, Most: maxRetries}
-	for range 100 * maxRetries / retryPercent {
-		r.budget.Earn()
-	}
+	r.budget = limit.NewBudget(retryPercent, maxRetries)
 	r.mirrors = make(map[string]*mirror)
 	r.left = ring.New[fleet.Backend](leaveRing)
 	r.Table.Keep = KeepEnded
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -222,7 +222,7 @@
 		return nil
 	}
 	now := r.Clock.Now()
-	pool.Daemons = len(r.table.Live(now)) + 1
+	pool.Daemons = r.table.Heard(now) + 1
 	choice := pool.Choose(r.Policy, &route.Query{
 		Now: now, Zone: r.Self.Zone, Prefixes: n.Prefixes, Draw: rand.Uint64(), Avoid: n.Avoid, First: n.First,
 	})
@@ -307,6 +307,13 @@
 	return slices.ContainsFunc(r.Live(), func(d member.Daemon) bool { return d.Holder() == holder })
 }
 
+// Daemons returns the number of daemons that are heard, with this one.
+func (r *Roster) Daemons() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Heard(r.Clock.Now()) + 1
+}
+
 // Live returns the other daemons that were heard within the lease.
 func (r *Roster) Live() []member.Daemon {
 	r.mu.Lock()
