--- a/cmd/swiftbeam/daemon.go
+++ b/cmd/swiftbeam/daemon.go
@@ -93,6 +93,20 @@
 	return d.Stop(stop)
 }
 
+// checkSettings checks a file by the kind of process that it is for.
+func checkSettings(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return invalidInput{errors.Wrap(err, "read settings")}
+	}
+	if setup.HasRole(text) {
+		_, err = loadNode(path)
+		return err
+	}
+	_, err = loadSettings(path)
+	return err
+}
+
 func settingsCommand() *cobra.Command {
 	c := &cobra.Command{Use: "settings", Short: "Work with settings files"}
 	c.AddCommand(&cobra.Command{
@@ -100,7 +114,7 @@
 		Short: "Check a settings file as a whole",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			if _, err := loadSettings(args[0]); err != nil {
+			if err := checkSettings(args[0]); err != nil {
 				return err
 			}
 			fmt.Println(args[0] + ": correct")
--- a/cmd/swiftbeam/main.go
+++ b/cmd/swiftbeam/main.go
@@ -5,6 +5,8 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"swiftbeam/internal/setup"
 )
 
 // Exit codes.
@@ -21,7 +23,9 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(daemonCommand(), demoCommand(), settingsCommand(), configCommand(), versionsCommand(), dumpCommand(), measureCommand(), replayCommand(), capacityCommand(),
-		emulateCommand(), callCommand())
+		emulateCommand(), callCommand(),
+		nodeCommand(setup.Entry, "entry", "Run one entry daemon until SIGTERM"),
+		nodeCommand(setup.Core, "core", "Run one core daemon until SIGTERM"))
 	if err := root.Execute(); err != nil {
 		os.Exit(report(err))
 	}
--- /dev/null
+++ b/internal/core/tally.go
@@ -0,0 +1,208 @@
+package core
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"swiftbeam/internal/duty"
+	"swiftbeam/internal/quota"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/usage"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+// Times of the leader's work.
+const (
+	dutyEvery = 250 * clock.Millisecond
+	// entryAge is the time without a report after which an entry daemon counts as gone.
+	entryAge = 2 * clock.Second
+	// usageWait is the time after the end of a window in which entry daemons report it.
+	usageWait = 1500 * clock.Millisecond
+	// cloudTimeout bounds a call to the cloud.
+	cloudTimeout = clock.Second
+)
+
+// desk is what the leader keeps of the reports of entry daemons.
+type desk struct {
+	entries map[string]*report
+	bank    quota.Bank
+	book    usage.Book
+	tenure  duty.Tenure
+	// reported is the last window that the cloud took.
+	reported uint64
+}
+
+// report is the last report of an entry daemon.
+type report struct {
+	at    clock.Instant
+	loads []*peerpb.ServerLoad
+}
+
+// Watch streams to a follower.
+func (c *Core) Watch(ctx context.Context, r *connect.Request[peerpb.WatchRequest], s *connect.ServerStream[peerpb.FeedEvent]) error {
+	return c.Source.Watch(ctx, r, s)
+}
+
+// Tally takes the report of an entry daemon.
+func (c *Core) Tally(_ context.Context, r *connect.Request[peerpb.TallyRequest]) (*connect.Response[peerpb.TallyResponse], error) {
+	if !c.leads() {
+		return connect.NewResponse(&peerpb.TallyResponse{Leader: c.Store.Status().LeaderAt}), nil
+	}
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := &c.desk
+	if d.entries == nil {
+		d.entries = make(map[string]*report)
+		d.bank.Bounds = quota.Bounds(c.Settings.Quota)
+	}
+	name := r.Msg.GetName()
+	every := entryAge
+	if last := d.entries[name]; last != nil {
+		every = now.Sub(last.at)
+	}
+	d.entries[name] = &report{at: now, loads: r.Msg.GetLoads()}
+	var windows []usage.Window
+	for _, w := range r.Msg.GetWindows() {
+		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
+	}
+	d.book.Hear(name+"/"+r.Msg.GetBoot(), windows)
+	return connect.NewResponse(c.answer(now, name, r.Msg, every)), nil
+}
+
+func (c *Core) answer(now clock.Instant, name string, m *peerpb.TallyRequest, every clock.Duration) *peerpb.TallyResponse {
+	d := &c.desk
+	out := &peerpb.TallyResponse{Leads: true}
+	others := make(map[string]*peerpb.ServerLoad)
+	for entry, last := range d.entries {
+		if now.Sub(last.at) > entryAge {
+			delete(d.entries, entry)
+			continue
+		}
+		out.Entries++
+		if entry == name {
+			continue
+		}
+		for _, l := range last.loads {
+			sum := others[l.GetId()]
+			if sum == nil {
+				sum = &peerpb.ServerLoad{Id: l.GetId()}
+				others[l.GetId()] = sum
+				out.Others = append(out.Others, sum)
+			}
+			sum.Requests += l.GetRequests()
+			sum.Prefill += l.GetPrefill()
+			sum.Memory += l.GetMemory()
+		}
+	}
+	set := c.set.Load()
+	if set == nil {
+		return out
+	}
+	var uses []quota.Use
+	for _, u := range m.GetUses() {
+		uses = append(uses, quota.Use{Account: u.GetAccount(), Wanted: u.GetWanted(), Held: u.GetHeld()})
+	}
+	for _, g := range d.bank.Grant(now, set, uses, every) {
+		out.Grants = append(out.Grants, &peerpb.Grant{Account: g.Account, Quantity: g.Quantity})
+	}
+	return out
+}
+
+// trueTime returns the time of day on which most core daemons agree.
+func (c *Core) trueTime() clock.Instant {
+	now := c.clock.Now()
+	return now.Add(c.Follower.Offset(wallClock().Sub(now)))
+}
+
+// attend does the duties of the leader.
+func (c *Core) attend(ctx context.Context) {
+	d := &c.desk
+	if !c.leads() || c.options.Cloud == nil || c.draining.Load() {
+		c.mu.Lock()
+		if d.tenure.Fence != 0 {
+			c.log.Info("duties ended", "fence", d.tenure.Fence)
+		}
+		d.tenure.End()
+		c.mu.Unlock()
+		return
+	}
+	if d.tenure.Fence == 0 && !c.takeDuties(ctx) {
+		return
+	}
+	if c.Settings.Duties.Usage {
+		c.reportUsage(ctx)
+	}
+}
+
+// takeDuties asks the log for the duties.
+func (c *Core) takeDuties(ctx context.Context) bool {
+	result, err := c.propose(ctx, state.TakeOrder{Operation: "duties", Target: "cloud", Holder: string(c.Store.Self.ID) + "/" + c.boot})
+	if err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.desk.tenure.Begin(c.clock.Now(), result.Fence)
+	c.desk.reported = 0
+	c.log.Info("duties begun", "fence", result.Fence)
+	return true
+}
+
+// maySend reports whether a call to the cloud may leave now.
+func (c *Core) maySend() bool {
+	s := c.Settings.Duties
+	return c.desk.tenure.MaySend(c.clock.Now(), c.Store.Status().ContactAt, duty.Settings{Lease: s.Lease, Thaw: s.Thaw, Contact: ElectionTimeout / 2})
+}
+
+// reportUsage records and reports the windows that have ended. Counts are in the log before they
+// are sent, so that every repetition is the same.
+func (c *Core) reportUsage(ctx context.Context) {
+	length := c.Settings.Duties.UsageWindow
+	now := c.trueTime()
+	ended := usage.Number(now.Add(-usageWait), length)
+	first := usage.Number(now.Add(-c.Settings.Duties.UsageDue-length), length)
+	for number := max(first, c.desk.reported+1); number < ended; number++ {
+		if !c.reportWindow(ctx, number) {
+			return
+		}
+		c.desk.reported = number
+	}
+	c.mu.Lock()
+	c.desk.book.Drop(first - 1)
+	c.mu.Unlock()
+}
+
+func (c *Core) reportWindow(ctx context.Context, number uint64) bool {
+	recorded, ok := c.recorded(number)
+	if !ok {
+		c.mu.Lock()
+		counts := c.desk.book.Sum(number)
+		c.mu.Unlock()
+		if _, err := c.propose(ctx, state.PutUsage{Number: number, Counts: counts}); err != nil {
+			c.log.Info("usage not recorded", "window", number, "error", err.Error())
+			return false
+		}
+		if recorded, ok = c.recorded(number); !ok {
+			return false
+		}
+	}
+	if !c.maySend() {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
+	defer cancel()
+	fence := c.desk.tenure.Fence
+	answer, err := c.options.Cloud.Usage(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, recorded)
+	c.log.Info("usage reported", "window", number, "fence", fence, "answer", answer.String(), "error", errorText(err), "accounts", len(recorded.Counts))
+	return answer == duty.Accepted
+}
+
+func (c *Core) recorded(number uint64) (state.Usage, bool) {
+	var u state.Usage
+	ok := false
+	c.Store.View(func(s *state.State) { u, ok = s.Usage[number] })
+	return u, ok
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"swiftbeam/internal/cloud"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/entry"
+	"swiftbeam/internal/group"
 	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/lease"
 	"swiftbeam/internal/manage"
@@ -77,7 +78,7 @@
 
 	options  Options
 	tls      *tls.Config
-	caughtUp atomic.Bool
+	joiner   *group.Joiner
 	draining atomic.Bool
 	servers  []*http.Server
 }
@@ -104,6 +105,7 @@
 		return nil, err
 	}
 	d.buildPaths()
+	d.buildJoiner()
 	d.register()
 	d.measure()
 	return d, nil
@@ -222,14 +224,14 @@
 			Log: d.options.Log.WithName("buyer"),
 		})
 	}
-	d.Kernel.Add("daemon", &joiner{Daemon: d})
+	d.Kernel.Add("daemon", joining{daemon: d})
 }
 
 // Standing tells what this daemon may do now.
 func (d *Daemon) Standing() lease.Standing {
 	status := d.Store.Status()
 	return lease.Decide(d.options.Clock.Now(), lease.Inputs{
-		CaughtUp: d.caughtUp.Load(), Draining: d.draining.Load(),
+		CaughtUp: d.joiner.CaughtUp.Load(), Draining: d.draining.Load(),
 		ContactAt: status.ContactAt, Lease: d.Settings.Lease,
 		Daemons: len(status.Members), Live: d.Roster.Daemons(),
 	})
--- a/internal/daemon/join.go
+++ b/internal/daemon/join.go
@@ -2,29 +2,16 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-
-	"connectrpc.com/connect"
 
+	"swiftbeam/internal/group"
 	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/member"
-	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/store"
-	"swiftbeam/internal/wire"
-	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
 )
 
-// Rhythm of joining.
-const (
-	joinPause    = 200 * clock.Millisecond
-	joinTimeout  = 2 * clock.Second
-	identifyTime = clock.Second
-)
-
 // Others returns the daemons to gossip with.
 func (d *Daemon) Others() []member.Daemon {
 	status := d.Store.Status()
@@ -40,110 +27,28 @@
 // Applied returns the newest applied log index.
 func (d *Daemon) Applied() uint64 { return d.Store.Status().Applied }
 
-// joiner is the service that joins the replication group and keeps this daemon in it.
-type joiner struct {
-	*Daemon
+// joining is the service that brings the daemon into the replication group and keeps it there.
+type joining struct {
+	daemon *Daemon
 }
 
-// Stop does nothing; the daemon itself drains.
-func (d *joiner) Stop(context.Context) error { return nil }
+// Dump returns the standing of the daemon.
+func (j joining) Dump() any { return j.daemon.Dump() }
 
-// Start brings the daemon into the replication group and up to date, in the background.
-func (d *joiner) Start(ctx context.Context, g *kernel.Group) error {
-	g.Go(func() { d.run(ctx) })
+// Start joins in the background.
+func (j joining) Start(ctx context.Context, g *kernel.Group) error {
+	g.Go(func() { j.daemon.joiner.Run(ctx) })
 	return nil
 }
 
-func (d *joiner) run(ctx context.Context) {
-	for ctx.Err() == nil && !d.isMember() {
-		if d.Store.Fresh() && d.form(ctx) {
-			break
-		}
-		d.join(ctx)
-		kernel.Pause(ctx, joinPause)
-	}
-	d.catchUp(ctx)
-	d.stay(ctx)
-}
-
-// stay joins again when the group forgot this daemon, for instance after a long partition.
-func (d *joiner) stay(ctx context.Context) {
-	for ctx.Err() == nil {
-		kernel.Pause(ctx, joinTimeout)
-		status := d.Store.Status()
-		silent := d.options.Clock.Now().Sub(status.ContactAt) > d.Settings.Lease
-		if !d.draining.Load() && (silent || !d.isMember()) {
-			d.join(ctx)
-		}
-	}
-}
-
-func (d *Daemon) isMember() bool {
-	status := d.Store.Status()
-	return slices.ContainsFunc(status.Members, func(m quorum.Member) bool { return m.ID == status.ID })
-}
-
-// form founds the group when this daemon is a first voter and all first voters are fresh. All
-// of them then found it with the same list. It reports whether the group was founded.
-func (d *joiner) form(ctx context.Context) bool {
-	first := d.Settings.FirstVoters
-	if !slices.Contains(first, d.Settings.Listen.Peers) {
-		return false
-	}
-	var members []quorum.Member
-	for _, address := range first {
-		m, formed, ok := d.identify(ctx, address)
-		if !ok || formed {
-			return false
-		}
-		m.Voter = true
-		members = append(members, m)
-	}
-	slices.SortFunc(members, func(a, b quorum.Member) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	return d.Store.Form(ctx, members) == nil
-}
-
-func (d *joiner) identify(ctx context.Context, address string) (quorum.Member, bool, bool) {
-	if address == d.Settings.Listen.Peers {
-		return d.Store.Self, false, true
-	}
-	ctx, cancel := context.WithTimeout(ctx, identifyTime.Std())
-	defer cancel()
-	r, err := d.Net.Client(address).Identify(ctx, connect.NewRequest(&peerpb.IdentifyRequest{}))
-	if err != nil {
-		return quorum.Member{}, false, false
-	}
-	return wire.MemberFromPB(r.Msg.GetMember()), r.Msg.GetFormed(), true
-}
-
-// join asks the daemons of the settings to be added to the group.
-func (d *joiner) join(ctx context.Context) {
-	request := &peerpb.JoinRequest{Member: wire.MemberToPB(d.Store.Self)}
-	for _, address := range append(slices.Clone(d.Settings.Peers), d.Settings.FirstVoters...) {
-		if address == d.Settings.Listen.Peers {
-			continue
-		}
-		timeout, cancel := context.WithTimeout(ctx, joinTimeout.Std())
-		_, err := d.Net.Client(address).Join(timeout, connect.NewRequest(request))
-		cancel()
-		if err == nil {
-			return
-		}
-	}
-}
-
-// catchUp commits a barrier and applies all up to it, so that this daemon knows every change
-// that was accepted before it started.
-func (d *joiner) catchUp(ctx context.Context) {
-	for ctx.Err() == nil {
-		timeout, cancel := context.WithTimeout(ctx, joinTimeout.Std())
-		_, err := d.Store.Propose(timeout, state.Barrier{})
-		cancel()
-		if err == nil {
-			d.caughtUp.Store(true)
-			d.options.Log.Info("caught up", "applied", d.Store.Status().Applied)
-			return
-		}
+// buildJoiner names the daemons to found a group with and to ask.
+func (d *Daemon) buildJoiner() {
+	s := d.Settings
+	d.joiner = &group.Joiner{
+		Store: d.Store, Net: d.Net, Clock: d.options.Clock, Log: d.options.Log, Silence: s.Lease,
+		First:   func() []string { return s.FirstVoters },
+		Others:  func() []string { return s.Peers },
+		Leaving: d.draining.Load,
 	}
 }
 
@@ -173,7 +78,7 @@
 }
 
 // Dump returns the standing of the daemon.
-func (d *Daemon) Dump() any {
+func (d *Daemon) Dump() Dump {
 	return Dump{
 		Name: d.Settings.Name, Zone: d.Settings.Zone, Standing: d.Standing().String(),
 		Running: d.Relay.Running(), Store: d.Store.Status(),
--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,67 @@
+// Package duty decides when the leader of the core may call the cloud. The cloud does not check
+// fencing numbers, so a new holder waits until no earlier holder can still send, and each holder
+// stops sending soon after it lost the majority:
+//
+//	tenure.Begin(now, fence)                        // the log granted the duties
+//	if tenure.MaySend(now, contactAt, settings) { ... }
+package duty
+
+import "swiftbeam/pkg/clock"
+
+//go:generate ../../.tools/stringer -type=Answer -output=answer_string.go
+
+// Holder names who makes a call.
+type Holder struct {
+	Name  string
+	Fence uint64
+}
+
+// Order is the number of replicas wanted in one availability zone.
+type Order struct {
+	Service  string
+	Zone     string
+	Replicas int
+	Spot     bool
+}
+
+// Answer is how the cloud took a call.
+type Answer uint8
+
+// Answers of the cloud.
+const (
+	Failed   Answer = iota // not taken, or not known
+	Accepted               // taken
+	SoldOut                // no such replicas are to be had now
+)
+
+// Settings are the times of the duties.
+type Settings struct {
+	// Lease is the time in which holders must not take turns.
+	Lease clock.Duration
+	// Thaw is the time in which a call of a holder that stood still may still arrive.
+	Thaw clock.Duration
+	// Contact is the age of the last contact with a majority up to which a holder sends. It is
+	// below the election timeout, so that a holder stops before another can be elected.
+	Contact clock.Duration
+}
+
+// Tenure is the time of one holder. The zero value holds nothing.
+type Tenure struct {
+	Fence   uint64
+	BeganAt clock.Instant
+}
+
+// Begin notes that the log granted the duties with a fencing number.
+func (t *Tenure) Begin(now clock.Instant, fence uint64) {
+	if t.Fence != fence {
+		*t = Tenure{Fence: fence, BeganAt: now}
+	}
+}
+
+// End notes that the duties are lost.
+func (t *Tenure) End() { *t = Tenure{} }
+
+// MaySend reports whether the holder may send now. ContactAt is its last contact with a majority.
+func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
+	return t.Fence != 0 && now.Sub(t.BeganAt) >= s.Lease+s.Thaw && now.Sub(contactAt) <= s.Contact
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,274 @@
+// Package edge is the process of an entry daemon: it takes the requests of callers, forwards them
+// to backend servers, and learns what it needs from the core daemons. It keeps nothing on disk.
+//
+//	e := edge.New(settings, edge.Options{Log: log, Dialect: platform.Callers{}, Decode: platform.DecodeRules})
+//	err := e.Start(ctx)
+//	<-stopped
+//	err = e.Stop(ctx)
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/feed"
+	"swiftbeam/internal/front"
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/peers"
+	"swiftbeam/internal/place"
+	"swiftbeam/internal/pool"
+	"swiftbeam/internal/retry"
+	"swiftbeam/internal/rules"
+	"swiftbeam/internal/setup"
+	"swiftbeam/internal/wire"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+// Times of an entry daemon.
+const (
+	sweepEvery = 500 * clock.Millisecond
+	// leaveRotation is the time in which a balancer that asks each second takes a daemon out
+	// after two refusals, and connections on their way arrive.
+	leaveRotation = 2800 * clock.Millisecond
+	// settleTime is how long a starting daemon waits for the other core daemons once one told it
+	// the rules, so that it does not begin with those of one that lags.
+	settleTime = 400 * clock.Millisecond
+	// Limits of connections of callers; those of the rules are tighter or equal.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	headerBytes   = 64 << 10
+)
+
+// Options replace parts of an entry daemon.
+type Options struct {
+	Log     logr.Logger
+	Clock   clock.Clock
+	Dialect front.Dialect
+	Decode  func(text []byte) (*rules.Set, error)
+	Observe func(took clock.Duration)
+}
+
+// Edge is one process.
+type Edge struct {
+	Settings *setup.Node
+	Front    *front.Front
+	Pool     *pool.Pool
+	Net      *peers.Net
+	Follower *feed.Follower
+
+	options  Options
+	log      logr.Logger
+	clock    clock.Clock
+	boot     string
+	seeds    atomic.Pointer[[]string]
+	draining atomic.Bool
+	rulesAt  atomic.Int64
+	ready    atomic.Bool
+	work     kernel.Group
+	cancel   context.CancelFunc
+	callers  *http.Server
+	check    *http.Server
+
+	mu    sync.Mutex
+	table enrol.Table
+	// placed are the servers that may receive work now, by ID.
+	placed map[string]*place.Server
+	tally  tally
+}
+
+// New composes an entry daemon.
+func New(s *setup.Node, o Options) *Edge {
+	if o.Clock == nil {
+		o.Clock = clock.Start()
+	}
+	var b [6]byte
+	_, _ = rand.Read(b[:])
+	e := &Edge{
+		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: hex.EncodeToString(b[:]), placed: make(map[string]*place.Server),
+	}
+	e.SetSeeds(s.Seeds)
+	e.Net = peers.New(peers.Options{Token: s.PeerToken})
+	e.Pool = &pool.Pool{Clock: e.clock}
+	e.Front = &front.Front{
+		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, TrueTime: e.trueTime,
+		MoreQuota: e.moreQuota, Observe: o.Observe,
+		Retries: retry.Budget{Ratio: retryPart * s.Retries.Ratio, Slack: retryPart * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
+	}
+	e.Front.SetUsageWindow(s.Duties.UsageWindow)
+	e.Follower = &feed.Follower{
+		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, Log: o.Log, Client: e.Net.FeedClient,
+		Seeds: func() []string { return *e.seeds.Load() }, OnEvent: e.hear,
+	}
+	e.tally.wake = make(chan struct{}, 1)
+	return e
+}
+
+const (
+	// retryPart is the part of the retry budget that is used; the rest covers windows of other
+	// bounds than the daemon's own.
+	retryPart = 0.7
+	// assumedEntries divides the slack until the number of entry daemons is known.
+	assumedEntries = 16
+)
+
+// SetSeeds replaces the addresses that the settings name.
+func (e *Edge) SetSeeds(seeds []string) { e.seeds.Store(&seeds) }
+
+// Start opens the listeners and begins to learn.
+func (e *Edge) Start(ctx context.Context) error {
+	ctx, e.cancel = context.WithCancel(ctx)
+	if err := e.Net.Start(ctx, &e.work); err != nil {
+		return err
+	}
+	e.work.Go(func() { e.Follower.Run(ctx) })
+	e.work.Go(func() { e.runTally(ctx) })
+	e.work.Go(func() { kernel.Every(ctx, sweepEvery, e.sweep) })
+	e.callers = &http.Server{
+		Handler: e.Front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+	}
+	e.check = &http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTimeout}
+	for address, server := range map[string]*http.Server{e.Settings.Callers: e.callers, e.Settings.Readiness: e.check} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", address)
+		}
+		go func() { _ = server.Serve(l) }()
+	}
+	return nil
+}
+
+// readiness answers the balancer.
+func (e *Edge) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !e.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// isReady reports whether new connections may come. A daemon that knew rules once goes on with
+// them when the core is lost.
+func (e *Edge) isReady() bool {
+	if e.draining.Load() {
+		return false
+	}
+	if e.ready.Load() {
+		return true
+	}
+	first := clock.Instant(e.rulesAt.Load())
+	if first == 0 {
+		return false
+	}
+	heard, known := e.Follower.Heard()
+	if heard < known && e.clock.Now().Sub(first) < settleTime {
+		return false
+	}
+	e.ready.Store(true)
+	e.log.Info("ready", "rulesVersion", e.Front.Rules().Version, "cores", heard, "knownCores", known)
+	return true
+}
+
+// Stop leaves the balancer's rotation, lets all requests finish, and ends the daemon.
+func (e *Edge) Stop(ctx context.Context) error {
+	e.draining.Store(true)
+	e.Front.Draining.Store(true)
+	e.log.Info("draining", "inFlight", e.Front.InFlight())
+	kernel.Pause(ctx, leaveRotation)
+	err := e.callers.Shutdown(ctx)
+	e.Front.Wait(ctx)
+	e.sendTally(ctx)
+	e.cancel()
+	_ = e.check.Close()
+	e.work.Wait()
+	return err
+}
+
+func (e *Edge) sweep() { e.Pool.Sweep() }
+
+// trueTime returns the time of day on which most daemons agree.
+func (e *Edge) trueTime() clock.Instant {
+	now := e.clock.Now()
+	return now.Add(e.Follower.Offset(clock.FromTime(time.Now()).Sub(now)))
+}
+
+// hear takes an event of a core daemon.
+func (e *Edge) hear(address string, event *peerpb.FeedEvent) {
+	if d := event.GetRules(); d != nil {
+		e.takeRules(address, d)
+	}
+	if len(event.GetServers()) > 0 {
+		e.takeServers(event.GetServers())
+	}
+}
+
+func (e *Edge) takeRules(address string, d *peerpb.Document) {
+	if old := e.Front.Rules(); old != nil && old.Version >= d.GetVersion() {
+		return
+	}
+	set, err := e.options.Decode(d.GetText())
+	if err != nil {
+		e.log.Error(err, "rules cannot be read", "version", d.GetVersion(), "from", address)
+		return
+	}
+	if e.Front.SetRules(set) {
+		e.log.Info("rules in force", "version", set.Version, "from", address, "routes", len(set.Routes), "accounts", len(set.Accounts))
+		e.rulesAt.CompareAndSwap(0, int64(e.clock.Now()))
+	}
+}
+
+func (e *Edge) takeServers(list []*peerpb.ServerRecord) {
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed := false
+	for _, m := range list {
+		r := wire.RecordFromPB(now, m)
+		if e.table.Merge(r) {
+			changed = true
+			e.log.Info("backend server", "server", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(), "sequence", r.Sequence)
+		}
+	}
+	if changed {
+		e.placeServers()
+	}
+}
+
+// placeServers brings the services of the front in line with the table.
+func (e *Edge) placeServers() {
+	usable := make(map[string]*enrol.Record)
+	for id, r := range e.table.ByID {
+		if e.table.Usable(r) {
+			usable[id] = r
+		}
+	}
+	for id, s := range e.placed {
+		r := e.table.ByID[id]
+		if usable[id] != nil && usable[id].Address == s.Address {
+			continue
+		}
+		delete(e.placed, id)
+		service := ""
+		if r != nil {
+			service = r.Service
+		}
+		e.Front.Update(service, func(g *front.Group) { g.Remove(id) })
+		e.Pool.Forget(s.Address)
+	}
+	for id, r := range usable {
+		if e.placed[id] != nil {
+			continue
+		}
+		s := &place.Server{ID: id, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Spot: r.Spot}
+		e.placed[id] = s
+		e.Front.Update(r.Service, func(g *front.Group) { g.Add(s) })
+	}
+}
--- /dev/null
+++ b/internal/edge/tally.go
@@ -0,0 +1,172 @@
+package edge
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"swiftbeam/internal/front"
+	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/place"
+	"swiftbeam/internal/quota"
+	"swiftbeam/internal/usage"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+// Times of reports.
+const (
+	tallyEvery = 250 * clock.Millisecond
+	// tallyTimeout is several round trips; after it another core daemon is asked.
+	tallyTimeout = 400 * clock.Millisecond
+	// grantWait is how long a request waits for a grant of quota.
+	grantWait = 100 * clock.Millisecond
+)
+
+// tally is the state of reporting to the leader.
+type tally struct {
+	sending sync.Mutex
+	leader  string
+	wake    chan struct{}
+	mu      sync.Mutex
+	// done is closed when the next report has been answered.
+	done chan struct{}
+}
+
+func (e *Edge) runTally(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause, cancel := context.WithTimeout(ctx, tallyEvery.Std())
+		select {
+		case <-e.tally.wake:
+		case <-pause.Done():
+		}
+		cancel()
+		e.sendTally(ctx)
+		e.tally.mu.Lock()
+		if e.tally.done != nil {
+			close(e.tally.done)
+			e.tally.done = nil
+		}
+		e.tally.mu.Unlock()
+		kernel.Pause(ctx, minTally)
+	}
+}
+
+// minTally is the least time between two reports.
+const minTally = 10 * clock.Millisecond
+
+// moreQuota reports at once and returns when the answer came.
+func (e *Edge) moreQuota(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, grantWait.Std())
+	defer cancel()
+	e.tally.mu.Lock()
+	if e.tally.done == nil {
+		e.tally.done = make(chan struct{})
+	}
+	done := e.tally.done
+	e.tally.mu.Unlock()
+	select {
+	case e.tally.wake <- struct{}{}:
+	default:
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// sendTally reports to the leader and takes its answer.
+func (e *Edge) sendTally(ctx context.Context) {
+	e.tally.sending.Lock()
+	defer e.tally.sending.Unlock()
+	request := e.request()
+	leader := e.tally.leader
+	if leader == "" {
+		leader = e.Follower.Leader()
+	}
+	if leader == "" {
+		return
+	}
+	short, cancel := context.WithTimeout(ctx, tallyTimeout.Std())
+	defer cancel()
+	response, err := e.Net.FeedClient(leader).Tally(short, connect.NewRequest(request))
+	switch {
+	case err != nil:
+		e.log.Info("leader not reached", "address", leader, "error", err.Error())
+		e.tally.leader = ""
+		e.restore(request)
+	case !response.Msg.GetLeads():
+		e.tally.leader = response.Msg.GetLeader()
+		e.restore(request)
+	default:
+		if e.tally.leader != leader {
+			e.log.Info("reports go to a leader", "address", leader)
+		}
+		e.tally.leader = leader
+		e.takeTally(response.Msg)
+	}
+}
+
+// request builds a report.
+func (e *Edge) request() *peerpb.TallyRequest {
+	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot}
+	e.Front.With(func(services map[string]*front.Group, purse *quota.Purse, counter *usage.Counter) {
+		for name, g := range services {
+			for _, s := range g.Servers {
+				if s.Own != (place.Load{}) {
+					m.Loads = append(m.Loads, &peerpb.ServerLoad{
+						Id: s.ID, Requests: uint32(max(s.Own.Requests, 0)), Prefill: uint64(max(s.Own.Prefill, 0)), Memory: uint64(max(s.Own.Memory, 0)),
+					})
+				}
+			}
+			m.Demands = append(m.Demands, &peerpb.ServiceDemand{
+				Service: name, Arrived: g.Arrived, Refused: g.Refused, Prefill: g.Prompt, Output: g.Output, Late: g.Late,
+			})
+		}
+		for _, u := range purse.Uses() {
+			m.Uses = append(m.Uses, &peerpb.AccountUse{Account: u.Account, Wanted: u.Wanted, Held: u.Held})
+		}
+		for _, w := range counter.Windows {
+			counts := make(map[string]uint64, len(w.Counts))
+			for account, n := range w.Counts {
+				counts[account] = n
+			}
+			m.Windows = append(m.Windows, &peerpb.UsageWindow{Number: w.Number, Counts: counts})
+		}
+	})
+	return m
+}
+
+// restore keeps what a report that was not taken asked for.
+func (e *Edge) restore(m *peerpb.TallyRequest) {
+	e.Front.With(func(_ map[string]*front.Group, purse *quota.Purse, _ *usage.Counter) {
+		for _, u := range m.GetUses() {
+			purse.Restore(u.GetAccount(), u.GetWanted())
+		}
+	})
+}
+
+func (e *Edge) takeTally(m *peerpb.TallyResponse) {
+	var grants []quota.Grant
+	for _, g := range m.GetGrants() {
+		grants = append(grants, quota.Grant{Account: g.GetAccount(), Quantity: g.GetQuantity()})
+	}
+	others := make(map[string]*peerpb.ServerLoad, len(m.GetOthers()))
+	for _, l := range m.GetOthers() {
+		others[l.GetId()] = l
+	}
+	entries := int(max(m.GetEntries(), 1))
+	r := e.Settings.Retries
+	e.Front.With(func(services map[string]*front.Group, purse *quota.Purse, _ *usage.Counter) {
+		purse.Entries = entries
+		purse.Receive(grants)
+		for _, g := range services {
+			g.Budget.Slack = retryPart * r.Slack / float64(entries)
+			for _, s := range g.Servers {
+				l := others[s.ID]
+				s.Others = place.Load{Requests: int(l.GetRequests()), Prefill: int(l.GetPrefill()), Memory: int(l.GetMemory())}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/enrol/enrol.go
@@ -0,0 +1,150 @@
+// Package enrol merges what backend servers say of themselves. Each core daemon hears some of
+// the announcements; entry daemons hear all core daemons and merge what they are told:
+//
+//	t := &enrol.Table{}
+//	changed := t.Merge(record)
+//
+// Records of one server merge by the instant of its start, then by sequence; at one address the
+// server that started last is the present one. Merging is commutative and idempotent, so records
+// may arrive late, twice or out of order. Gone servers leave a tombstone behind, so that a late
+// announcement does not bring them back.
+package enrol
+
+import (
+	"cmp"
+	"slices"
+
+	"swiftbeam/pkg/clock"
+)
+
+//go:generate ../../.tools/stringer -type=State -output=state_string.go
+
+// State tells whether a backend server may receive work.
+type State uint8
+
+// States of a backend server. A later state outweighs an earlier one of the same sequence.
+const (
+	Ready   State = iota
+	Silent        // nothing was heard from it for a while; the next announcement ends that
+	Leaving       // it finishes what it has
+	Gone          // it said that it ends
+)
+
+// Record is what is known of one start of a backend server.
+type Record struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Version  string
+	Slots    int
+	State    State
+	Born     clock.Instant
+	Sequence uint64
+	// Spot servers may be reclaimed.
+	Spot bool
+	// ReclaimAt is the instant at which a reclaimed server ends; zero when unknown.
+	ReclaimAt clock.Instant
+	// ColdFor is how much longer the server is slow after its start.
+	ColdFor clock.Duration
+	HeardAt clock.Instant
+}
+
+// Times of the table.
+const (
+	// SilentAfter is the number of announcement intervals without one after which a server
+	// counts as silent: announcements may come seconds late.
+	SilentAfter = 4
+	// TombstoneFor outlasts announcements held up by a partition.
+	TombstoneFor = 2 * clock.Minute
+)
+
+// Table holds the records by ID. The zero value is ready to use; its owner serialises the calls.
+type Table struct {
+	ByID map[string]*Record
+	// present is the last started server at each address.
+	present map[string]*Record
+}
+
+// newer reports whether a replaces b, a record of the same ID.
+func newer(a, b *Record) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	if b.State == Gone {
+		return false
+	}
+	if a.State == Gone {
+		return true
+	}
+	if a.Sequence != b.Sequence {
+		return a.Sequence > b.Sequence
+	}
+	return a.State > b.State
+}
+
+// Merge takes a record and reports whether it changed what the table holds.
+func (t *Table) Merge(r Record) bool {
+	if t.ByID == nil {
+		t.ByID = make(map[string]*Record)
+		t.present = make(map[string]*Record)
+	}
+	old := t.ByID[r.ID]
+	if old != nil && !newer(&r, old) {
+		return false
+	}
+	if old != nil && old.Born == r.Born && old.State == Leaving && r.State < Leaving {
+		r.State = Leaving
+		r.ReclaimAt = old.ReclaimAt
+	}
+	if old != nil && r.Address == "" {
+		r.Address, r.Service, r.Zone, r.Version = old.Address, old.Service, old.Zone, old.Version
+		r.Slots, r.Spot = old.Slots, old.Spot
+	}
+	if old != nil && old.Address != r.Address && t.present[old.Address] == old {
+		delete(t.present, old.Address)
+	}
+	record := &r
+	t.ByID[r.ID] = record
+	at := t.present[r.Address]
+	if at == nil || at == old || at.Born <= r.Born {
+		t.present[r.Address] = record
+	}
+	return true
+}
+
+// Usable reports whether new work may go to the server: it is ready and nothing started later
+// at its address.
+func (t *Table) Usable(r *Record) bool {
+	return r.State == Ready && t.present[r.Address] == r
+}
+
+// All returns the records ordered by ID.
+func (t *Table) All() []*Record {
+	all := make([]*Record, 0, len(t.ByID))
+	for _, r := range t.ByID {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Expire marks the servers silent that were last heard before since, and returns them. Records
+// that end a server are dropped after TombstoneFor.
+func (t *Table) Expire(now, since clock.Instant) []*Record {
+	var silent []*Record
+	for id, r := range t.ByID {
+		if now.Sub(r.HeardAt) > TombstoneFor {
+			delete(t.ByID, id)
+			if t.present[r.Address] == r {
+				delete(t.present, r.Address)
+			}
+			continue
+		}
+		if r.State == Ready && r.HeardAt.Before(since) {
+			r.State = Silent
+			silent = append(silent, r)
+		}
+	}
+	return silent
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,469 @@
+// Package front takes the requests of callers at an entry daemon and forwards them to backend
+// servers:
+//
+//	f := &front.Front{Clock: c, Dialect: dialect, Pool: pool, State: state}
+//	server := &http.Server{Handler: f}
+//
+// A request is matched to its route, its key to a client account, and its size to the account's
+// quota; then attempts at backend servers follow one another as package retry decides. Answers
+// of backend servers go to the caller unchanged, event streams as their events arrive.
+package front
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/place"
+	"swiftbeam/internal/pool"
+	"swiftbeam/internal/quota"
+	"swiftbeam/internal/retry"
+	"swiftbeam/internal/rules"
+	"swiftbeam/internal/usage"
+	"swiftbeam/pkg/clock"
+)
+
+// Ask is a request as its caller described it.
+type Ask struct {
+	// ID names this attempt of the caller.
+	ID string
+	// Key is the caller's API key.
+	Key string
+	// Wait is how long the caller waits; zero when it did not say.
+	Wait  clock.Duration
+	Model string
+	// Sized tells that the caller gave the sizes of its prompt and answer, in tokens.
+	Sized  bool
+	Prompt int
+	Output int
+	Parts  []place.Part
+	// After is the last event that the caller has of a stream; -1 when it has none.
+	After int64
+	// Header are the headers to pass on.
+	Header http.Header
+}
+
+// Order is what an attempt adds to the headers of a request.
+type Order struct {
+	// Server is the ID of the backend server that is meant.
+	Server  string
+	Account string
+	Left    clock.Duration
+	// Urgency orders requests at an engine; 0 is first.
+	Urgency int
+	// After is the last event that the caller has; -1 when it has none.
+	After int64
+}
+
+// Signs are what the headers of an answer tell.
+type Signs struct {
+	// ID is the attempt that is answered.
+	ID string
+	// NotRun tells that the server did not run the request, Moved that it is not the one meant.
+	NotRun bool
+	Moved  bool
+	// Signed tells that a backend server made the answer.
+	Signed bool
+}
+
+// Dialect translates between the types of this package and the headers on the wire.
+type Dialect interface {
+	Ask(r *http.Request) (Ask, error)
+	// Order adds the headers of an attempt to h.
+	Order(h http.Header, a *Ask, o Order)
+	Signs(status int, h http.Header) Signs
+	RetryAfter(h http.Header, d clock.Duration)
+}
+
+// Counts are the counters of a Front.
+type Counts struct {
+	Requests  atomic.Int64
+	Refused   atomic.Int64
+	Failed    atomic.Int64
+	Attempts  atomic.Int64
+	Cut       atomic.Int64
+	Abandoned atomic.Int64
+	Events    atomic.Int64
+}
+
+// Front is the handler for callers. Set the exported fields before use.
+type Front struct {
+	Zone    string
+	Clock   clock.Clock
+	Dialect Dialect
+	Pool    *pool.Pool
+	Log     logr.Logger
+	// TrueTime returns the time of day that the daemons agree on.
+	TrueTime func() clock.Instant
+	// MoreQuota asks for a grant at once; it returns when the answer came or ctx ends.
+	MoreQuota func(ctx context.Context)
+	Retries   retry.Budget
+	Counts    Counts
+	// Observe takes the time to the first answer of each request; it may be nil.
+	Observe func(took clock.Duration)
+	// Draining tells callers to use other connections.
+	Draining atomic.Bool
+
+	rules atomic.Pointer[rules.Set]
+
+	mu       sync.Mutex
+	services map[string]*Group
+	purse    quota.Purse
+	counter  usage.Counter
+	active   sync.WaitGroup
+	inFlight atomic.Int64
+}
+
+// Group is a service with the budget for further attempts at its servers.
+type Group struct {
+	place.Service
+	Budget      retry.Budget
+	Connections int
+	Arrived     uint64
+	Refused     uint64
+	Prompt      uint64
+	Output      uint64
+	Late        uint64
+}
+
+// Retry-After hints.
+const (
+	// unknownRulesRetry is the time in which a starting daemon usually learns the rules.
+	unknownRulesRetry = 300 * clock.Millisecond
+	// noServerRetry is the time in which a crashed server is usually replaced or found again.
+	noServerRetry = 500 * clock.Millisecond
+	// maxRetryAfter bounds a hint, as a caller gives up after that.
+	maxRetryAfter = 3 * clock.Second
+	defaultWait   = clock.Minute
+)
+
+// maxBodyDefault bounds a request body before the rules are known.
+const maxBodyDefault = 4 << 20
+
+// SetUsageWindow sets the length of the windows in which usage is counted.
+func (f *Front) SetUsageWindow(length clock.Duration) { f.counter.Length = length }
+
+// Rules returns the traffic rules in force, or nil.
+func (f *Front) Rules() *rules.Set { return f.rules.Load() }
+
+// SetRules puts newer traffic rules in force. It reports false when they are not newer.
+func (f *Front) SetRules(set *rules.Set) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.rules.Load(); old != nil && old.Version >= set.Version {
+		return false
+	}
+	for i := range set.Services {
+		f.configure(f.group(set.Services[i].Name), &set.Services[i])
+	}
+	f.rules.Store(set)
+	return true
+}
+
+// Update calls change with the service of that name while nothing else uses it.
+func (f *Front) Update(service string, change func(*Group)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f.group(service))
+}
+
+// With calls use with all mutable state while nothing else uses it.
+func (f *Front) With(use func(services map[string]*Group, purse *quota.Purse, counter *usage.Counter)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	use(f.services, &f.purse, &f.counter)
+}
+
+func (f *Front) group(name string) *Group {
+	if f.services == nil {
+		f.services = make(map[string]*Group)
+	}
+	g := f.services[name]
+	if g == nil {
+		g = &Group{Service: place.Service{Name: name, Costs: place.PlainCosts}, Budget: f.Retries}
+		f.services[name] = g
+	}
+	return g
+}
+
+func (f *Front) configure(g *Group, s *rules.Service) {
+	g.Connections = s.Connections
+	if s.Engine != nil && !g.Engine {
+		g.Engine = true
+		g.Costs = place.EngineCosts
+	}
+}
+
+// InFlight returns the number of requests that are being served.
+func (f *Front) InFlight() int64 { return f.inFlight.Load() }
+
+// Wait returns when no request is being served, or when ctx ends.
+func (f *Front) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		f.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// ServeHTTP answers one request of a caller.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	f.inFlight.Add(1)
+	defer f.active.Done()
+	defer f.inFlight.Add(-1)
+	f.Counts.Requests.Add(1)
+	x := &exchange{front: f, w: w, r: r, arrived: f.Clock.Now()}
+	x.serve()
+	x.log()
+	if x.abort {
+		// The connection ends without the rest of the answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	front   *Front
+	w       http.ResponseWriter
+	r       *http.Request
+	ask     Ask
+	set     *rules.Set
+	route   *rules.Route
+	account *rules.Account
+	service string
+	body    []byte
+	arrived clock.Instant
+	until   clock.Instant
+
+	avoid    []string
+	attempts int
+	ran      bool // an attempt may have run
+	begun    bool // a part of the answer went to the caller
+	counted  bool // the request was counted as begun
+	// events is the last event that the caller was sent.
+	events  int64
+	eventsN int
+	first   clock.Instant
+	saved   *answer
+
+	// abort ends the caller's connection instead of completing the answer.
+	abort   bool
+	outcome string
+	status  int
+	detail  string
+	server  string
+	wait    float64
+}
+
+// answer is a whole answer of a backend server, kept while another attempt is made.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (x *exchange) serve() {
+	f := x.front
+	// The server adds a date by itself; answers go on as the backend server made them.
+	x.w.Header()["Date"] = nil
+	if f.Draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.set = f.rules.Load()
+	if x.set == nil {
+		x.refuse("no rules yet", unknownRulesRetry)
+		return
+	}
+	if !x.admit() {
+		return
+	}
+	x.until = x.arrived.Add(min(x.ask.Wait, x.route.Timeout))
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.until.Sub(f.Clock.Now()).Std())
+	defer cancel()
+	if !x.spend(ctx) {
+		return
+	}
+	x.forward(ctx)
+}
+
+// admit matches the request to its route and account and reads its body.
+func (x *exchange) admit() bool {
+	var err error
+	if x.ask, err = x.front.Dialect.Ask(x.r); err != nil {
+		x.reply(http.StatusBadRequest, "rejected", err.Error())
+		return false
+	}
+	if x.ask.Wait <= 0 {
+		x.ask.Wait = defaultWait
+	}
+	path := x.r.RequestURI
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	if x.route = x.set.Match(x.r.Host, path); x.route == nil {
+		x.reply(http.StatusNotFound, "rejected", "no route for "+x.r.Host+path+"; check host and path")
+		return false
+	}
+	if len(x.set.Accounts) > 0 {
+		x.account = x.set.Holder(x.ask.Key)
+		if x.account == nil && !x.route.Anonymous {
+			x.reply(http.StatusUnauthorized, "rejected", "unknown API key; ask the operator for one")
+			return false
+		}
+	}
+	x.service = x.route.Pick(rand.Uint64())
+	return x.readBody()
+}
+
+func (x *exchange) readBody() bool {
+	limit := int64(maxBodyDefault)
+	if x.set.Limits.BodyBytes > 0 {
+		limit = x.set.Limits.BodyBytes
+	}
+	if x.r.ContentLength > limit {
+		x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(limit, 10)+" bytes; send less")
+		return false
+	}
+	if x.r.ContentLength == 0 {
+		return true
+	}
+	if x.r.ContentLength > 0 {
+		x.body = make([]byte, x.r.ContentLength)
+		if _, err := io.ReadFull(x.r.Body, x.body); err != nil {
+			x.abandon("body cut short")
+			return false
+		}
+		return true
+	}
+	var err error
+	if x.body, err = io.ReadAll(io.LimitReader(x.r.Body, limit+1)); err != nil {
+		x.abandon("body cut short")
+		return false
+	}
+	if int64(len(x.body)) > limit {
+		x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(limit, 10)+" bytes; send less")
+		return false
+	}
+	return true
+}
+
+// spend takes the size of the request from the account's quota.
+func (x *exchange) spend(ctx context.Context) bool {
+	f := x.front
+	if x.account == nil || x.account.Rate <= 0 {
+		return true
+	}
+	quantity := 1.0
+	if x.account.ByTokens {
+		quantity = x.account.PlainTokens
+		if x.ask.Sized {
+			quantity = float64(x.ask.Prompt + x.ask.Output)
+		}
+	}
+	f.mu.Lock()
+	f.purse.Want(x.account, quantity)
+	ok := f.purse.Spend(f.Clock.Now(), x.account, quantity)
+	f.mu.Unlock()
+	if !ok && f.MoreQuota != nil {
+		f.MoreQuota(ctx)
+		f.mu.Lock()
+		ok = f.purse.Spend(f.Clock.Now(), x.account, quantity)
+		f.mu.Unlock()
+	}
+	if !ok {
+		x.limit(quota.RetryAfter(x.account, quantity))
+	}
+	return ok
+}
+
+// limit refuses a request beyond the account's quota.
+func (x *exchange) limit(after clock.Duration) {
+	x.front.Counts.Refused.Add(1)
+	x.front.Dialect.RetryAfter(x.w.Header(), after)
+	x.reply(http.StatusTooManyRequests, "over quota", "the quota of the account is used up; retry later")
+}
+
+// refuse ends a request that has not run and will not.
+func (x *exchange) refuse(why string, after clock.Duration) {
+	f := x.front
+	f.Counts.Refused.Add(1)
+	if x.service != "" {
+		f.Update(x.service, func(g *Group) { g.Refused++ })
+	}
+	f.Dialect.RetryAfter(x.w.Header(), min(after, maxRetryAfter))
+	x.reply(http.StatusServiceUnavailable, "refused", why)
+}
+
+// fail ends a request that may have run.
+func (x *exchange) fail(status int, why string) {
+	x.front.Counts.Failed.Add(1)
+	x.reply(status, "failed", why)
+}
+
+// abandon ends a request whose caller is gone.
+func (x *exchange) abandon(why string) {
+	x.front.Counts.Abandoned.Add(1)
+	x.outcome, x.detail = "abandoned", why
+	x.abort = true
+}
+
+// reply gives an answer of our own.
+func (x *exchange) reply(status int, outcome, detail string) {
+	x.status, x.outcome, x.detail = status, outcome, detail
+	h := x.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := detail + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.w.WriteHeader(status)
+	_, _ = io.WriteString(x.w, text)
+}
+
+// log writes the one line of a request.
+func (x *exchange) log() {
+	x.front.Log.Info("request",
+		"id", x.ask.ID, "route", x.routeName(), "account", x.accountName(), "service", x.service,
+		"outcome", x.outcome, "status", x.status, "detail", x.detail,
+		"server", x.server, "attempts", x.attempts, "mayHaveRun", x.ran, "events", x.eventsN,
+		"expectedMs", int(x.wait), "firstMs", x.firstMs(), "tookMs", int64(x.front.Clock.Now().Sub(x.arrived)),
+		"rulesVersion", x.rulesVersion())
+}
+
+func (x *exchange) firstMs() int64 {
+	if x.first == 0 {
+		return -1
+	}
+	return int64(x.first.Sub(x.arrived))
+}
+
+func (x *exchange) routeName() string {
+	if x.route == nil {
+		return ""
+	}
+	return x.route.Name
+}
+
+func (x *exchange) accountName() string {
+	if x.account == nil {
+		return ""
+	}
+	return x.account.Name
+}
+
+func (x *exchange) rulesVersion() uint64 {
+	if x.set == nil {
+		return 0
+	}
+	return x.set.Version
+}
--- a/internal/jsonc/jsonc.go
+++ b/internal/jsonc/jsonc.go
@@ -236,6 +236,22 @@
 	return v
 }
 
+// Fraction returns a number between low and high that may have decimals, or other when the field
+// is absent.
+func (o *Object) Fraction(name string, other, low, high float64) float64 {
+	n, ok := o.Get(name)
+	if !ok {
+		return other
+	}
+	lit, isLiteral := n.value.Value.(hujson.Literal)
+	v, err := strconv.ParseFloat(string(lit), 64)
+	if !isLiteral || err != nil || v < low || v > high {
+		n.Fail(fmt.Sprintf("write a number from %g to %g", low, high), "not a usable number")
+		return other
+	}
+	return v
+}
+
 // Duration returns a span written with its unit, such as "450ms", or other when the field is
 // absent.
 func (o *Object) Duration(name string, other clock.Duration) clock.Duration {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -147,6 +147,26 @@
 	return c
 }
 
+// FeedClient returns the client for the feed of the core daemon at address.
+func (n *Net) FeedClient(address string) peerpbconnect.FeedClient {
+	client := &http.Client{Transport: bearer{token: n.options.Token, base: n.client.Transport}}
+	return peerpbconnect.NewFeedClient(client, "http://"+address,
+		connect.WithReadMaxBytes(MaxMessageBytes), connect.WithSendMaxBytes(MaxMessageBytes))
+}
+
+// bearer adds the token to requests, streams included, which interceptors of unary calls miss.
+type bearer struct {
+	token string
+	base  http.RoundTripper
+}
+
+// RoundTrip sends a request with the token.
+func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+b.token)
+	return b.base.RoundTrip(r)
+}
+
 func (n *Net) authorize() connect.UnaryInterceptorFunc {
 	return func(next connect.UnaryFunc) connect.UnaryFunc {
 		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// Authorized lets only callers with the token through to h.
+func Authorized(token string, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || !EqualTokens(given, token) {
+			http.Error(w, "unknown peer token; give all daemons the same peerToken", http.StatusUnauthorized)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // EqualTokens compares two secrets in constant time. Empty secrets are never equal.
 func EqualTokens(a, b string) bool {
 	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
--- /dev/null
+++ b/internal/place/place.go
@@ -0,0 +1,416 @@
+// Package place chooses the backend server for a request by the first-answer time to expect from
+// it. It answers a load of prompts that differ a hundredfold in length and share parts, on
+// engines that read prompts one after the other between the tokens of running requests:
+//
+//	choice := service.Choose(&place.Query{Now: now, Tokens: 12000, Parts: parts})
+//	flight := service.Start(now, choice, &query)
+//	service.First(now, flight)          // the first event or answer came
+//	service.Finish(now, flight, failed)
+//
+// The estimate adds the prompts that wait to be read, the part of the prompt that the server has
+// not cached, and the pace of its batch. The daemon's own requests are known exactly, those of
+// the others by their last reports.
+package place
+
+import (
+	"hash/maphash"
+	"math"
+	"slices"
+
+	"swiftbeam/pkg/clock"
+)
+
+// Part is one part of a prompt, in order.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Load is what requests put on a server.
+type Load struct {
+	Requests int
+	// Prefill are the prompt tokens that are still to be read.
+	Prefill int
+	// Memory are the tokens that running requests keep.
+	Memory int
+}
+
+// Server is a backend server that may receive work.
+type Server struct {
+	ID      string
+	Address string
+	Zone    string
+	Version string
+	Slots   int
+	Spot    bool
+	Own     Load
+	Others  Load
+	// Took is the moving average of the time to the first answer.
+	Took float64
+	// Faults is the moving average of failed requests, from 0 to 1.
+	Faults float64
+	// OutUntil keeps a server that failed out of choices; Probing is set while a single request
+	// tries it after that.
+	OutUntil clock.Instant
+	Probing  bool
+	outs     int
+	seed     uint64
+}
+
+// Costs describe the engines of a service.
+type Costs struct {
+	// PrefillPerMs is the number of prompt tokens read in a millisecond.
+	PrefillPerMs float64
+	// Step is the time of one step of an empty batch, and StepEach what each request adds.
+	Step     float64
+	StepEach float64
+	// First is the fixed time to a first answer.
+	First float64
+	// OtherZone is the extra cost of a server in another availability zone.
+	OtherZone float64
+	// Busy is the time for which a plain request holds a slot; it follows what is observed.
+	Busy float64
+}
+
+// EngineCosts and PlainCosts are starting points before anything was observed: the figures of a
+// current engine for a mid-sized model, and of a service that answers within 50 ms.
+var (
+	EngineCosts = Costs{PrefillPerMs: 50, Step: 4, StepEach: 0.1, First: 16, OtherZone: 4, Busy: 1500}
+	PlainCosts  = Costs{First: 1, OtherZone: 4, Busy: 50}
+)
+
+// Service holds the servers of one service. Its owner serialises the calls.
+type Service struct {
+	Name    string
+	Servers []*Server
+	Costs   Costs
+	Engine  bool
+
+	warm map[uint64][]holder
+}
+
+// holder is a server that has read a prompt up to some part.
+type holder struct {
+	server *Server
+	at     clock.Instant
+}
+
+// Query describes a request.
+type Query struct {
+	Now    clock.Instant
+	Zone   string
+	Tokens int
+	Output int
+	Parts  []Part
+	// Avoid are the IDs of servers that were tried.
+	Avoid []string
+	// Version limits the choice to servers of one version; empty means any.
+	Version string
+	Draw    uint64
+}
+
+// Choice is a server with the time to its first answer to expect, in milliseconds.
+type Choice struct {
+	Server *Server
+	Wait   float64
+	// Cached is the number of prompt tokens that the server is believed to hold.
+	Cached int
+	// Full tells that all slots of the server are taken.
+	Full bool
+}
+
+// Flight is a request at a server.
+type Flight struct {
+	Server   *Server
+	prefill  int
+	memory   int
+	started  clock.Instant
+	answered bool
+}
+
+// Bounds of what is remembered, and of health.
+const (
+	// warmFor is the time after which a cached prompt is taken to have yielded to others.
+	warmFor     = 40 * clock.Second
+	maxHolders  = 3
+	maxPrefixes = 8192
+	// homeBelief is the part of a shared prompt that its home server is taken to hold where this
+	// daemon has not sent it there.
+	homeBelief = 0.7
+	// averageWeight is the weight of a new observation in moving averages.
+	averageWeight = 0.15
+	// outFor is how long a server that fails is left out; it doubles with each time in a row.
+	outFor    = clock.Second
+	maxOutFor = 8 * clock.Second
+	// faultLimit is the average of failures above which a server is left out.
+	faultLimit = 0.5
+	// maxOutPart is the part of the servers that may be left out at once.
+	maxOutPart = 0.5
+)
+
+var hashSeed = maphash.MakeSeed()
+
+// key returns the identity of a prompt up to and including part i.
+func key(parts []Part, i int) uint64 {
+	var h maphash.Hash
+	h.SetSeed(hashSeed)
+	for _, p := range parts[:i+1] {
+		_, _ = h.WriteString(p.ID)
+		_ = h.WriteByte(0)
+	}
+	return h.Sum64()
+}
+
+// shareSeed makes home servers equal on all daemons, unlike hashSeed.
+func shareSeed(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	h ^= h >> 29
+	h *= 0xbf58476d1ce4e5b9
+	return h ^ h>>32
+}
+
+// Find returns the server with the ID, or nil.
+func (s *Service) Find(id string) *Server {
+	for _, server := range s.Servers {
+		if server.ID == id {
+			return server
+		}
+	}
+	return nil
+}
+
+// Add takes a new server.
+func (s *Service) Add(server *Server) {
+	server.seed = shareSeed(server.ID)
+	s.Servers = append(s.Servers, server)
+}
+
+// Remove takes a server out of all later choices.
+func (s *Service) Remove(id string) {
+	s.Servers = slices.DeleteFunc(s.Servers, func(o *Server) bool { return o.ID == id })
+}
+
+// Choose returns the server with the least time to expect, or no server.
+func (s *Service) Choose(q *Query) Choice {
+	cached := s.cached(q)
+	home := s.home(q)
+	best := Choice{Wait: math.Inf(1)}
+	lowest := math.Inf(1)
+	out := s.leftOut(q.Now)
+	for i, server := range s.Servers {
+		if q.Version != "" && server.Version != q.Version || slices.Contains(q.Avoid, server.ID) {
+			continue
+		}
+		if out && server.out(q.Now) {
+			continue
+		}
+		held := cached[server]
+		if held == 0 && server == home {
+			held = int(homeBelief * float64(shared(q.Parts)))
+		}
+		wait, full := s.wait(server, q.Tokens-held)
+		score := wait
+		if server.Zone != q.Zone {
+			score += s.Costs.OtherZone
+		}
+		score += float64((q.Draw>>(uint(i)%32))&3) * 0.25
+		if score < lowest {
+			lowest = score
+			best = Choice{Server: server, Wait: wait, Cached: held, Full: full}
+		}
+	}
+	return best
+}
+
+// wait estimates the time to the first answer in milliseconds, and whether the server is full.
+func (s *Service) wait(server *Server, unread int) (float64, bool) {
+	requests := server.Own.Requests + server.Others.Requests
+	c := &s.Costs
+	over := requests + 1 - max(server.Slots, 1)
+	queue := 0.0
+	if over > 0 {
+		queue = float64(over) * c.Busy / float64(max(server.Slots, 1))
+	}
+	if !s.Engine {
+		load := float64(requests) / float64(max(server.Slots, 1))
+		return c.First + c.Busy + queue + 0.1*c.Busy*load, over > 0
+	}
+	ahead := float64(server.Own.Prefill + server.Others.Prefill)
+	step := c.Step + c.StepEach*float64(requests)
+	return c.First + step + queue + (ahead+float64(max(unread, 0)))/c.PrefillPerMs, over > 0
+}
+
+// shared returns the tokens of all parts but the last, which is the request's own.
+func shared(parts []Part) int {
+	total := 0
+	for i := range len(parts) - 1 {
+		total += parts[i].Tokens
+	}
+	return total
+}
+
+// cached returns the tokens of the prompt that servers hold, as far as this daemon has sent them.
+func (s *Service) cached(q *Query) map[*Server]int {
+	if len(q.Parts) == 0 {
+		return nil
+	}
+	var held map[*Server]int
+	total := 0
+	for i := range q.Parts {
+		total += q.Parts[i].Tokens
+		holders := s.warm[key(q.Parts, i)]
+		for _, h := range holders {
+			if q.Now.Sub(h.at) > warmFor {
+				continue
+			}
+			if held == nil {
+				held = make(map[*Server]int, maxHolders)
+			}
+			held[h.server] = total
+		}
+	}
+	return held
+}
+
+// home returns the server on which all daemons gather the requests that share a prompt: the one
+// with the highest hash over the prompt's last shared part and the server.
+func (s *Service) home(q *Query) *Server {
+	if len(q.Parts) < 2 {
+		return nil
+	}
+	seed := shareSeed(q.Parts[len(q.Parts)-2].ID)
+	var best *Server
+	highest := uint64(0)
+	for _, server := range s.Servers {
+		if server.out(q.Now) {
+			continue
+		}
+		mix := (seed ^ server.seed) * 0x9e3779b97f4a7c15
+		mix ^= mix >> 31
+		mix *= 0xbf58476d1ce4e5b9
+		mix ^= mix >> 29
+		if best == nil || mix > highest {
+			best, highest = server, mix
+		}
+	}
+	return best
+}
+
+func (s *Server) out(now clock.Instant) bool {
+	return s.OutUntil.After(now) || s.OutUntil > 0 && s.Probing
+}
+
+// leftOut reports whether servers that fail may be left out: enough others remain.
+func (s *Service) leftOut(now clock.Instant) bool {
+	out := 0
+	for _, server := range s.Servers {
+		if server.out(now) {
+			out++
+		}
+	}
+	return float64(out) <= maxOutPart*float64(len(s.Servers))
+}
+
+// Start records that a request goes to the chosen server.
+func (s *Service) Start(now clock.Instant, c Choice, q *Query) *Flight {
+	f := &Flight{Server: c.Server, started: now, memory: q.Tokens + q.Output/2}
+	f.prefill = max(q.Tokens-c.Cached, 0)
+	c.Server.Own.Requests++
+	c.Server.Own.Prefill += f.prefill
+	c.Server.Own.Memory += f.memory
+	if c.Server.OutUntil > 0 {
+		c.Server.Probing = true
+	}
+	for i := range q.Parts {
+		s.hold(now, key(q.Parts, i), c.Server)
+	}
+	return f
+}
+
+func (s *Service) hold(now clock.Instant, k uint64, server *Server) {
+	if s.warm == nil {
+		s.warm = make(map[uint64][]holder)
+	}
+	holders := s.warm[k]
+	for i := range holders {
+		if holders[i].server == server {
+			holders[i].at = now
+			return
+		}
+	}
+	if len(holders) >= maxHolders {
+		holders = append(holders[:0], holders[1:]...)
+	}
+	if len(s.warm) > maxPrefixes {
+		s.cool(now)
+	}
+	s.warm[k] = append(holders, holder{server: server, at: now})
+}
+
+// cool forgets prompts that were not used lately, or all when that is not enough.
+func (s *Service) cool(now clock.Instant) {
+	for k, holders := range s.warm {
+		holders = slices.DeleteFunc(holders, func(h holder) bool { return now.Sub(h.at) > warmFor/4 })
+		if len(holders) == 0 {
+			delete(s.warm, k)
+		} else {
+			s.warm[k] = holders
+		}
+	}
+	if len(s.warm) > maxPrefixes*3/4 {
+		clear(s.warm)
+	}
+}
+
+// First records the first answer to a request.
+func (s *Service) First(now clock.Instant, f *Flight) {
+	if f.answered {
+		return
+	}
+	f.answered = true
+	f.Server.Own.Prefill -= f.prefill
+	took := float64(now.Sub(f.started))
+	f.Server.Took += averageWeight * (took - f.Server.Took)
+}
+
+// Finish records the end of a request. A failure is evidence against the server.
+func (s *Service) Finish(now clock.Instant, f *Flight, failed bool) {
+	if !f.answered {
+		f.answered = true
+		f.Server.Own.Prefill -= f.prefill
+	}
+	f.Server.Own.Requests--
+	f.Server.Own.Memory -= f.memory
+	if !failed {
+		s.Costs.Busy += averageWeight / 4 * (float64(now.Sub(f.started)) - s.Costs.Busy)
+	}
+	f.Server.judge(now, failed)
+}
+
+// judge leaves a server out that fails often, and lets it back after a request that went well.
+func (s *Server) judge(now clock.Instant, failed bool) {
+	observed := 0.0
+	if failed {
+		observed = 1
+	}
+	s.Faults += averageWeight * (observed - s.Faults)
+	probed := s.Probing
+	s.Probing = false
+	switch {
+	case !failed && probed:
+		s.OutUntil, s.outs, s.Faults = 0, 0, 0
+	case failed && (probed || s.Faults > faultLimit):
+		s.eject(now)
+	}
+}
+
+func (s *Server) eject(now clock.Instant) {
+	s.OutUntil = now.Add(min(outFor<<min(s.outs, 4), maxOutFor))
+	s.outs++
+}
+
+// Unreachable leaves a server out at once, as no connection to it could be opened.
+func (s *Server) Unreachable(now clock.Instant) { s.eject(now) }
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -11,6 +11,9 @@
 	if !now.Before(c.beatAt) {
 		c.beatAt = now.Add(c.Settings.Heartbeat)
 		c.needBeat = true
+		if now.Before(c.checkAt) {
+			c.repair(now)
+		}
 	}
 	if !now.Before(c.learnersAt) {
 		c.learnersAt = now.Add(c.learnerBeat())
--- a/internal/quorum/voters.go
+++ b/internal/quorum/voters.go
@@ -141,7 +141,10 @@
 	if c.Settings.ReplaceAfter == 0 || c.configAt > c.Commit || c.Commit < c.noopAt {
 		return
 	}
-	silent := c.silentMember(now, true, c.Settings.ReplaceAfter)
+	silent := c.superseded()
+	if silent < 0 {
+		silent = c.silentMember(now, true, c.Settings.ReplaceAfter)
+	}
 	voters := len(c.voters())
 	alive := voters
 	if silent >= 0 {
@@ -160,6 +163,19 @@
 	c.dropUnticketed()
 }
 
+// superseded returns a voter at whose address another member joined, as one does whose disk was
+// lost, or -1.
+func (c *Core) superseded() int {
+	return slices.IndexFunc(c.members, func(m Member) bool {
+		return m.Voter && m.ID != c.Settings.Self && m.Address != "" && slices.ContainsFunc(c.members, func(o Member) bool {
+			return o.Address == m.Address && c.joinedAfter(o, m)
+		})
+	})
+}
+
+// joinedAfter reports whether o joined after m: members are kept in the order in which they joined.
+func (c *Core) joinedAfter(o, m Member) bool { return c.find(o.ID) > c.find(m.ID) }
+
 // dropUnticketed forgets the outcomes of changes that nobody waits for.
 func (c *Core) dropUnticketed() {
 	c.out.Outcomes = slices.DeleteFunc(c.out.Outcomes, func(o Outcome) bool { return o.Ticket == 0 })
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -116,6 +116,11 @@
 	Moves      map[string]*Move
 	Orders     map[string]*Order
 	Fence      uint64
+	// Rules are the newest traffic rules, Usage the recorded windows by number, Rollouts the
+	// newest of each service.
+	Rules    Rules
+	Usage    map[uint64]Usage
+	Rollouts map[string]*Rollout
 
 	// Document is derived from the sections.
 	Document conf.Document
@@ -147,6 +152,14 @@
 		return s.takeOrder(b)
 	case EndOrder:
 		return s.endOrder(b)
+	case PutRules:
+		return s.putRules(b)
+	case PutUsage:
+		return s.putUsage(b)
+	case StartRollout:
+		return s.startRollout(b)
+	case StepRollout:
+		return s.stepRollout(b)
 	}
 	return Result{}
 }
@@ -163,6 +176,8 @@
 	s.Once = make(map[OnceKey]*OnceRecord)
 	s.Moves = make(map[string]*Move)
 	s.Orders = make(map[string]*Order)
+	s.Usage = make(map[uint64]Usage)
+	s.Rollouts = make(map[string]*Rollout)
 }
 
 // putOnce answers a resent operation from its record.
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -39,6 +39,18 @@
 		m.Body = &peerpb.Command_EndOrder{EndOrder: &peerpb.EndOrder{
 			Operation: b.Operation, Fence: b.Fence, Done: b.Done,
 		}}
+	case state.PutRules:
+		m.Body = &peerpb.Command_PutRules{PutRules: &peerpb.PutRules{Version: b.Version, Text: b.Text}}
+	case state.PutUsage:
+		m.Body = &peerpb.Command_PutUsage{PutUsage: &peerpb.PutUsage{Number: b.Number, Counts: b.Counts}}
+	case state.StartRollout:
+		m.Body = &peerpb.Command_StartRollout{StartRollout: &peerpb.StartRollout{
+			Service: b.Service, Target: b.Target, FinishBy: int64(b.FinishBy),
+		}}
+	case state.StepRollout:
+		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{
+			Service: b.Service, Target: b.Target, Revision: b.Revision, Stage: uint32(b.Stage), Share: uint32(b.Share),
+		}}
 	case state.Barrier:
 		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
 	}
@@ -87,6 +99,19 @@
 	case *peerpb.Command_EndOrder:
 		p := b.EndOrder
 		c.Body = state.EndOrder{Operation: p.GetOperation(), Fence: p.GetFence(), Done: p.GetDone()}
+	case *peerpb.Command_PutRules:
+		c.Body = state.PutRules{Version: b.PutRules.GetVersion(), Text: b.PutRules.GetText()}
+	case *peerpb.Command_PutUsage:
+		c.Body = state.PutUsage{Number: b.PutUsage.GetNumber(), Counts: b.PutUsage.GetCounts()}
+	case *peerpb.Command_StartRollout:
+		p := b.StartRollout
+		c.Body = state.StartRollout{Service: p.GetService(), Target: p.GetTarget(), FinishBy: clock.Instant(p.GetFinishBy())}
+	case *peerpb.Command_StepRollout:
+		p := b.StepRollout
+		c.Body = state.StepRollout{
+			Service: p.GetService(), Target: p.GetTarget(), Revision: p.GetRevision(),
+			Stage: state.Stage(p.GetStage()), Share: int(p.GetShare()),
+		}
 	case *peerpb.Command_Barrier:
 		c.Body = state.Barrier{}
 	default:
@@ -160,6 +185,15 @@
 	for _, o := range s.Orders {
 		m.Orders = append(m.Orders, orderToPB(o))
 	}
+	if s.Rules.Version > 0 {
+		m.Rules = &peerpb.PutRules{Version: s.Rules.Version, Text: s.Rules.Text}
+	}
+	for _, u := range s.Usage {
+		m.Usage = append(m.Usage, &peerpb.PutUsage{Number: u.Number, Counts: u.Counts})
+	}
+	for _, r := range s.Rollouts {
+		m.Rollouts = append(m.Rollouts, RolloutToPB(r))
+	}
 	sortImage(m)
 	return encode(m)
 }
@@ -169,6 +203,8 @@
 	sortBy(m.Operations, (*peerpb.Operation).GetId)
 	sortBy(m.Moves, (*peerpb.Move).GetService)
 	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
+	sortBy(m.Rollouts, (*peerpb.RolloutRecord).GetService)
+	slices.SortFunc(m.Usage, func(a, b *peerpb.PutUsage) int { return cmp.Compare(a.Number, b.Number) })
 	slices.SortFunc(m.Once, func(a, b *peerpb.OnceRecord) int {
 		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Key, b.Key))
 	})
@@ -205,10 +241,36 @@
 	for _, o := range m.GetOrders() {
 		s.Orders[o.GetOperation()] = orderFromPB(o)
 	}
+	if r := m.GetRules(); r != nil {
+		s.Rules = state.Rules{Version: r.GetVersion(), Text: r.GetText()}
+	}
+	for _, u := range m.GetUsage() {
+		s.Usage[u.GetNumber()] = state.Usage{Number: u.GetNumber(), Counts: u.GetCounts()}
+	}
+	for _, r := range m.GetRollouts() {
+		s.Rollouts[r.GetService()] = RolloutFromPB(r)
+	}
 	s.Rebuild()
 	return s, nil
 }
 
+// RolloutToPB maps a rollout to its message.
+func RolloutToPB(r *state.Rollout) *peerpb.RolloutRecord {
+	return &peerpb.RolloutRecord{
+		Service: r.Service, Target: r.Target, Stage: uint32(r.Stage), Started: int64(r.Started),
+		FinishBy: int64(r.FinishBy), Share: uint32(r.Share), Revision: r.Revision,
+	}
+}
+
+// RolloutFromPB maps a message to its rollout.
+func RolloutFromPB(m *peerpb.RolloutRecord) *state.Rollout {
+	return &state.Rollout{
+		Service: m.GetService(), Target: m.GetTarget(), Stage: state.Stage(m.GetStage()),
+		Started: clock.Instant(m.GetStarted()), FinishBy: clock.Instant(m.GetFinishBy()),
+		Share: int(m.GetShare()), Revision: m.GetRevision(),
+	}
+}
+
 func sectionToPB(s *state.Section) *peerpb.Section {
 	m := &peerpb.Section{Name: s.Name}
 	for _, v := range s.History {
