Hold quotas as a sliding window with leases over all entry daemons

A bucket of rate and burst also refused two thirds of what a window of the rule allows after 'quota down'. A grant asked for in a hurry was answered by a report already on its way.

Now the leader sums what each daemon spent in the window; leases add up to the limit and hold without a leader; a new leader listens before it grants. Test: quota_test.go plays six times the quota with a leader change and without a leader.

--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -26,6 +26,7 @@
 
 // desk is what the leader keeps of the reports of entry daemons.
 type desk struct {
+	leading bool
 	entries map[string]*report
 	bank    quota.Bank
 	book    usage.Book
@@ -54,8 +55,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := &c.desk
-	if d.entries == nil {
-		d.entries = make(map[string]*report)
+	if !d.leading {
+		// What an earlier leader granted is not known here.
+		*d = desk{leading: true, entries: make(map[string]*report), bank: quota.Bank{Since: now}, book: d.book, tenure: d.tenure, reported: d.reported}
 		d.bank.Bounds = quota.Bounds(c.Settings.Quota)
 	}
 	name := r.Msg.GetName()
@@ -103,10 +105,10 @@
 	}
 	var uses []quota.Use
 	for _, u := range m.GetUses() {
-		uses = append(uses, quota.Use{Account: u.GetAccount(), Wanted: u.GetWanted(), Held: u.GetHeld()})
+		uses = append(uses, quota.Use{Account: u.GetAccount(), Wanted: u.GetWanted(), Held: u.GetHeld(), Spent: u.GetSpent()})
 	}
-	for _, g := range d.bank.Grant(now, set, uses, every) {
-		out.Grants = append(out.Grants, &peerpb.Grant{Account: g.Account, Quantity: g.Quantity})
+	for _, g := range d.bank.Grant(now, set, name+"/"+m.GetBoot(), uses, every) {
+		out.Grants = append(out.Grants, &peerpb.Grant{Account: g.Account, Quantity: g.Quantity, Lease: g.Lease})
 	}
 	return out
 }
@@ -126,6 +128,9 @@
 			c.log.Info("duties ended", "fence", d.tenure.Fence)
 		}
 		d.tenure.End()
+		if !c.leads() {
+			d.leading = false
+		}
 		c.mu.Unlock()
 		return
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -105,7 +105,7 @@
 		MoreQuota: e.moreQuota, Observe: o.Observe,
 		Retries: retry.Budget{Ratio: retryPart * s.Retries.Ratio, Slack: retryPart * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
-	e.Front.SetUsageWindow(s.Duties.UsageWindow)
+	e.Front.SetWindows(s.Duties.UsageWindow, s.Quota.Window)
 	e.Follower = &feed.Follower{
 		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, Log: o.Log, Client: e.Net.FeedClient,
 		Seeds: func() []string { return *e.seeds.Load() }, OnEvent: e.hear,
@@ -221,6 +221,9 @@
 	}
 	if e.Front.SetRules(set) {
 		e.log.Info("rules in force", "version", set.Version, "from", address, "routes", len(set.Routes), "accounts", len(set.Accounts))
+		for i := range set.Accounts {
+			e.log.Info("quota in force", "account", set.Accounts[i].Name, "rate", set.Accounts[i].Rate, "burst", set.Accounts[i].Burst, "rulesVersion", set.Version)
+		}
 		e.rulesAt.CompareAndSwap(0, int64(e.clock.Now()))
 	}
 }
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -42,13 +42,15 @@
 		case <-pause.Done():
 		}
 		cancel()
-		e.sendTally(ctx)
+		// Those that wait for a grant wait for a report that begins after they asked.
 		e.tally.mu.Lock()
-		if e.tally.done != nil {
-			close(e.tally.done)
-			e.tally.done = nil
-		}
+		done := e.tally.done
+		e.tally.done = nil
 		e.tally.mu.Unlock()
+		e.sendTally(ctx)
+		if done != nil {
+			close(done)
+		}
 		kernel.Pause(ctx, minTally)
 	}
 }
@@ -124,8 +126,8 @@
 				Service: name, Arrived: g.Arrived, Refused: g.Refused, Prefill: g.Prompt, Output: g.Output, Late: g.Late,
 			})
 		}
-		for _, u := range purse.Uses() {
-			m.Uses = append(m.Uses, &peerpb.AccountUse{Account: u.Account, Wanted: u.Wanted, Held: u.Held})
+		for _, u := range purse.Uses(e.clock.Now()) {
+			m.Uses = append(m.Uses, &peerpb.AccountUse{Account: u.Account, Wanted: u.Wanted, Held: u.Held, Spent: u.Spent})
 		}
 		for _, w := range counter.Windows {
 			counts := make(map[string]uint64, len(w.Counts))
@@ -150,7 +152,7 @@
 func (e *Edge) takeTally(m *peerpb.TallyResponse) {
 	var grants []quota.Grant
 	for _, g := range m.GetGrants() {
-		grants = append(grants, quota.Grant{Account: g.GetAccount(), Quantity: g.GetQuantity()})
+		grants = append(grants, quota.Grant{Account: g.GetAccount(), Quantity: g.GetQuantity(), Lease: g.GetLease()})
 	}
 	others := make(map[string]*peerpb.ServerLoad, len(m.GetOthers()))
 	for _, l := range m.GetOthers() {
@@ -160,7 +162,7 @@
 	r := e.Settings.Retries
 	e.Front.With(func(services map[string]*front.Group, purse *quota.Purse, _ *usage.Counter) {
 		purse.Entries = entries
-		purse.Receive(grants)
+		purse.Receive(e.clock.Now(), grants)
 		for _, g := range services {
 			g.Budget.Slack = retryPart * r.Slack / float64(entries)
 			for _, s := range g.Servers {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -147,8 +147,11 @@
 // maxBodyDefault bounds a request body before the rules are known.
 const maxBodyDefault = 4 << 20
 
-// SetUsageWindow sets the length of the windows in which usage is counted.
-func (f *Front) SetUsageWindow(length clock.Duration) { f.counter.Length = length }
+// SetWindows sets the lengths of the windows in which usage is counted and quotas hold.
+func (f *Front) SetWindows(report, limit clock.Duration) {
+	f.counter.Length = report
+	f.purse.Window = limit
+}
 
 // Rules returns the traffic rules in force, or nil.
 func (f *Front) Rules() *rules.Set { return f.rules.Load() }
@@ -260,6 +263,8 @@
 
 	// abort ends the caller's connection instead of completing the answer.
 	abort   bool
+	// size is what the request counts against the account's quota.
+	size    float64
 	outcome string
 	status  int
 	detail  string
@@ -366,6 +371,7 @@
 		return true
 	}
 	quantity := 1.0
+	defer func() { x.size = quantity }()
 	if x.account.ByTokens {
 		quantity = x.account.PlainTokens
 		if x.ask.Sized {
@@ -435,7 +441,7 @@
 	x.front.Log.Info("request",
 		"id", x.ask.ID, "route", x.routeName(), "account", x.accountName(), "service", x.service,
 		"outcome", x.outcome, "status", x.status, "detail", x.detail,
-		"server", x.server, "attempts", x.attempts, "mayHaveRun", x.ran, "events", x.eventsN,
+		"size", int(x.size), "server", x.server, "attempts", x.attempts, "mayHaveRun", x.ran, "events", x.eventsN,
 		"expectedMs", int(x.wait), "firstMs", x.firstMs(), "tookMs", int64(x.front.Clock.Now().Sub(x.arrived)),
 		"rulesVersion", x.rulesVersion())
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,17 +1,25 @@
-// Package quota holds the requests of client accounts to their quotas over all entry daemons. The
-// leader of the core owns one bucket an account and grants parts of it; an entry daemon spends
-// what it was granted without asking:
+// Package quota holds the requests of client accounts to their quotas over all entry daemons. In
+// any window an account may spend its rate for that time and its burst. The leader of the core
+// keeps one bank and grants parts of what is left; an entry daemon spends its grants without
+// asking:
 //
-//	grants := bank.Grant(now, "entry-1", uses)     // at the leader, for each report
-//	purse.Receive(grants)                          // at the entry daemon
-//	retryAfter, ok := purse.Spend(now, account, tokens)
+//	grants := bank.Grant(now, set, "entry-1/boot", uses, since)  // at the leader, for each report
+//	purse.Receive(now, grants)                                   // at the entry daemon
+//	ok := purse.Spend(now, account, tokens)
+//
+// Each grant names a lease: what the daemon may spend in a window should it lose the leader. The
+// leases of all daemons add up to the limit, so the quota also holds while there is no leader, and
+// a new leader learns from the first reports what was spent before.
 //
 // The load that it answers: an account that sends many times its quota through all daemons at
 // once, with requests whose sizes differ a hundredfold, next to accounts within their quotas.
 package quota
 
 import (
+	"strings"
+
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/slide"
 	"swiftbeam/pkg/clock"
 )
 
@@ -23,58 +31,78 @@
 }
 
 const (
-	// slackPart is the part of the allowed excess that is granted; the rest covers requests that
-	// wait between their grant and their start.
-	slackPart = 0.7
-	// floorPart is the part of the rate that all entry daemons together may spend without a
-	// leader.
-	floorPart = 0.1
+	// excessPart is the part of the allowed excess that is used; the rest covers requests on their
+	// way between daemon and server, and daemons that are lost with what they spent.
+	excessPart = 0.5
 	// grantAhead is the time for which a daemon is granted what its callers ask for.
 	grantAhead = 600 * clock.Millisecond
+	// regularReport is the least time between reports that do not ask for a grant in a hurry.
+	regularReport = 150 * clock.Millisecond
+	maxAhead      = 2.5
+	// surplusReports is the demand, in reports, that a daemon keeps without using it.
+	surplusReports = 4
+	usualWeight    = 0.3
+	// lostAfter is the silence after which the leader takes a daemon to live on its lease; a
+	// daemon begins to do so only after leaseAfter.
+	lostAfter  = 600 * clock.Millisecond
+	leaseAfter = 900 * clock.Millisecond
+	// listenFirst is how long a new leader listens before it grants.
+	listenFirst = 350 * clock.Millisecond
+	// leasePart is the part of the limit that is leased by need; the rest is leased evenly, so
+	// that a daemon without callers can serve some when they move to it.
+	leasePart = 0.8
 )
 
-// Bucket is the state of one account at the leader.
-type Bucket struct {
-	Level float64
-	At    clock.Instant
-}
-
-// Bank is the state of all accounts at the leader. Its owner serialises the calls.
-type Bank struct {
-	Bounds  Bounds
-	Buckets map[string]*Bucket
+// Limit returns what an account may spend in a window.
+func Limit(b Bounds, a *rules.Account) float64 {
+	slack := 0.0
+	if a.ByTokens {
+		slack = b.Slack
+	}
+	plain := a.Rate*float64(b.Window)/1000 + a.Burst
+	return plain*(1+excessPart*b.Overrun) + excessPart*slack
 }
 
 // Use is what an entry daemon reports of an account.
 type Use struct {
 	Account string
-	// Wanted is what callers asked for since the last report, Every the time since then.
+	// Wanted is what callers asked for since the last report.
 	Wanted float64
-	// Held is what is left of earlier grants.
-	Held float64
+	// Held is what is left of earlier grants, Spent what went in the last window.
+	Held  float64
+	Spent float64
 }
 
 // Grant is a part of a quota for one entry daemon.
 type Grant struct {
 	Account  string
 	Quantity float64
+	// Lease is what the daemon may spend in a window without a leader.
+	Lease float64
 }
 
-// limits returns the rate per millisecond and the size of an account's bucket.
-func limits(b Bounds, a *rules.Account) (rate, size float64) {
-	rate = a.Rate * (1 + b.Overrun) * (1 - floorPart) / 1000
-	slack := 0.0
-	if a.ByTokens {
-		slack = b.Slack
-	}
-	size = a.Burst*(1+b.Overrun) + slackPart*slack
-	return rate, size
+// standing is what the leader knows of one account at one daemon.
+type standing struct {
+	spent float64
+	held  float64
+	lease float64
+	at    clock.Instant
+}
+
+// Bank is the state of all accounts at the leader. Its owner serialises the calls.
+type Bank struct {
+	Bounds Bounds
+	// Since is when this leader began.
+	Since clock.Instant
+
+	accounts map[string]map[string]*standing
 }
 
-// Grant returns what an entry daemon may spend, given its uses since its last report.
-func (b *Bank) Grant(now clock.Instant, set *rules.Set, uses []Use, every clock.Duration) []Grant {
-	if b.Buckets == nil {
-		b.Buckets = make(map[string]*Bucket)
+// Grant takes the report of a run of an entry daemon, named NAME/BOOT, and returns its grants.
+// Every is the time since its last report.
+func (b *Bank) Grant(now clock.Instant, set *rules.Set, entry string, uses []Use, every clock.Duration) []Grant {
+	if b.accounts == nil {
+		b.accounts = make(map[string]map[string]*standing)
 	}
 	var grants []Grant
 	for _, u := range uses {
@@ -82,44 +110,103 @@
 		if a == nil || a.Rate <= 0 {
 			continue
 		}
-		rate, size := limits(b.Bounds, a)
-		bucket := b.Buckets[a.Name]
-		if bucket == nil {
-			// A new leader does not know what was granted just before.
-			bucket = &Bucket{Level: size / 2, At: now}
-			b.Buckets[a.Name] = bucket
+		entries := b.accounts[a.Name]
+		if entries == nil {
+			entries = make(map[string]*standing)
+			b.accounts[a.Name] = entries
 		}
-		bucket.Level = min(size, bucket.Level+rate*float64(max(now.Sub(bucket.At), 0)))
-		bucket.At = now
-		ahead := u.Wanted * max(1, float64(grantAhead)/float64(max(every, 50)))
-		quantity := min(ahead-u.Held, bucket.Level)
-		if quantity <= 0 {
-			continue
+		mine := entries[entry]
+		if mine == nil {
+			mine = &standing{}
+			entries[entry] = mine
+		}
+		mine.spent, mine.held, mine.at = u.Spent, u.Held, now
+		limit := Limit(b.Bounds, a)
+		left, spent := b.left(now, entries, limit)
+		g := Grant{Account: a.Name, Lease: lease(limit, u.Spent, spent, len(entries))}
+		mine.lease = g.Lease
+		ahead := u.Wanted
+		if every >= regularReport {
+			ahead *= min(max(float64(grantAhead)/float64(every), 1), maxAhead)
+		}
+		if quantity := min(ahead-u.Held, left); quantity > 0 && now.Sub(b.Since) >= listenFirst {
+			mine.held += quantity
+			g.Quantity = quantity
 		}
-		bucket.Level -= quantity
-		grants = append(grants, Grant{Account: a.Name, Quantity: quantity})
+		grants = append(grants, g)
 	}
 	return grants
 }
 
+// lease divides the limit by what was spent, with an even part.
+func lease(limit, mine, all float64, entries int) float64 {
+	even := limit / float64(max(entries, 1))
+	if all <= 0 {
+		return even
+	}
+	return (1-leasePart)*even + leasePart*limit*mine/all
+}
+
+// left returns what of the limit is not spent, held or leased, and what was spent.
+func (b *Bank) left(now clock.Instant, entries map[string]*standing, limit float64) (left, spent float64) {
+	left = limit
+	for name, s := range entries {
+		silent := now.Sub(s.at)
+		switch {
+		case silent > b.Bounds.Window+leaseAfter:
+			delete(entries, name)
+			continue
+		case silent <= lostAfter:
+			left -= s.spent + s.held
+		case restarted(entries, name, s):
+			left -= s.spent
+		default:
+			left -= max(s.lease, s.spent+s.held)
+		}
+		spent += s.spent
+	}
+	return left, spent
+}
+
+// restarted reports whether a later run of the same daemon has reported.
+func restarted(entries map[string]*standing, name string, s *standing) bool {
+	daemon, _, _ := strings.Cut(name, "/")
+	for other, o := range entries {
+		if other != name && o.at.After(s.at) && strings.HasPrefix(other, daemon+"/") {
+			return true
+		}
+	}
+	return false
+}
+
 // Purse is what one entry daemon may spend. Its owner serialises the calls.
 type Purse struct {
+	Window clock.Duration
 	// Entries is the number of entry daemons.
 	Entries  int
 	Accounts map[string]*Allowance
+	// ContactAt is when the leader answered last.
+	ContactAt clock.Instant
 }
 
-// Allowance is what is left for one account.
+// Allowance is the state of one account.
 type Allowance struct {
 	Held   float64
 	Wanted float64
-	at     clock.Instant
+	Lease  float64
+	Spent  slide.Window
+	// usual is the moving average of what callers ask for between reports.
+	usual    float64
+	reported bool
 }
 
-// Receive adds grants.
-func (p *Purse) Receive(grants []Grant) {
+// Receive adds the grants of the leader.
+func (p *Purse) Receive(now clock.Instant, grants []Grant) {
+	p.ContactAt = now
 	for _, g := range grants {
-		p.allowance(g.Account).Held += g.Quantity
+		a := p.allowance(g.Account)
+		a.Held += g.Quantity
+		a.Lease = g.Lease
 	}
 }
 
@@ -129,7 +216,7 @@
 	}
 	a := p.Accounts[account]
 	if a == nil {
-		a = &Allowance{}
+		a = &Allowance{Spent: slide.Window{Span: p.Window}}
 		p.Accounts[account] = a
 	}
 	return a
@@ -144,28 +231,35 @@
 		return true
 	}
 	left := p.allowance(a.Name)
-	// Without a leader each daemon goes on with its part of a floor.
-	floor := a.Rate * floorPart / float64(max(p.Entries, 1)) / 1000
-	if left.at > 0 {
-		left.Held += floor * float64(max(now.Sub(left.at), 0))
-	}
-	left.at = now
-	left.Held = min(left.Held, a.Burst+a.Rate)
-	if left.Held < quantity {
+	switch {
+	case left.Held >= quantity:
+		left.Held -= quantity
+	case now.Sub(p.ContactAt) > leaseAfter && left.Spent.Sum(now)+quantity <= left.Lease:
+	default:
 		return false
 	}
-	left.Held -= quantity
+	left.Spent.Add(now, quantity)
 	return true
 }
 
-// Uses returns what to report, and begins a new report.
-func (p *Purse) Uses() []Use {
+// Uses returns what to report, and begins a new report. What is not likely to be used soon goes
+// back to the leader.
+func (p *Purse) Uses(now clock.Instant) []Use {
 	var uses []Use
 	for name, a := range p.Accounts {
-		if a.Wanted > 0 {
-			uses = append(uses, Use{Account: name, Wanted: a.Wanted, Held: a.Held})
-			a.Wanted = 0
+		a.usual += usualWeight * (a.Wanted - a.usual)
+		if keep := surplusReports * a.usual; a.Held > keep && a.Wanted == 0 {
+			a.Held = max(keep, a.Held/2)
+		}
+		if a.Held < 1 {
+			a.Held = 0
+		}
+		spent := a.Spent.Sum(now)
+		if a.Wanted > 0 || a.Held > 0 || spent > 0 || a.reported {
+			uses = append(uses, Use{Account: name, Wanted: a.Wanted, Held: a.Held, Spent: spent})
 		}
+		a.reported = a.Held > 0 || spent > 0
+		a.Wanted = 0
 	}
 	return uses
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,139 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	"swiftbeam/internal/rules"
+	"swiftbeam/pkg/clock"
+)
+
+// deployment plays entry daemons that share one account.
+type deployment struct {
+	now     clock.Instant
+	set     *rules.Set
+	bank    Bank
+	purses  []*Purse
+	reached []bool // whether the daemon reaches the leader
+	spent   []float64
+}
+
+const quantity = 12_000.0
+
+func newDeployment(entries int) *deployment {
+	d := &deployment{now: 1_000_000, set: &rules.Set{Accounts: []rules.Account{{Name: "a", Rate: 145_000, Burst: 145_000, ByTokens: true}}}}
+	d.bank = Bank{Bounds: Bounds{Window: 8 * clock.Second, Overrun: 0.1, Slack: 140_000}, Since: d.now - 60_000}
+	for range entries {
+		d.purses = append(d.purses, &Purse{Entries: entries, Window: 8 * clock.Second})
+		d.reached = append(d.reached, true)
+	}
+	return d
+}
+
+// play lets a second pass in which each daemon is asked for requests; it returns those that went.
+func (d *deployment) play(asks int) int {
+	a := &d.set.Accounts[0]
+	went := 0
+	const steps = 20
+	second := 0.0
+	for step := range steps {
+		d.now += 50
+		for i, p := range d.purses {
+			if d.reached[i] && step%5 == 0 {
+				p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 250))
+			}
+			for range (asks*(step+1))/steps - (asks*step)/steps {
+				p.Want(a, quantity)
+				ok := p.Spend(d.now, a, quantity)
+				if !ok && d.reached[i] {
+					p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 50))
+					ok = p.Spend(d.now, a, quantity)
+				}
+				if ok {
+					went++
+					second += quantity
+				}
+			}
+		}
+	}
+	d.spent = append(d.spent, second)
+	return went
+}
+
+// most returns the largest sum of eight seconds in a row.
+func (d *deployment) most() float64 {
+	most := 0.0
+	for i := range d.spent {
+		sum := 0.0
+		for _, s := range d.spent[max(0, i-7) : i+1] {
+			sum += s
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+const allowed = (145_000*8+145_000)*1.1 + 140_000
+
+// TestQuotaHoldsUnderManyTimesTheUsual plays an account that sends six times its quota through all
+// daemons, after a quiet time in which they save up, and a change of the leader in the midst.
+func TestQuotaHoldsUnderManyTimesTheUsual(t *testing.T) {
+	for _, change := range []bool{false, true} {
+		d := newDeployment(7)
+		for range 10 {
+			d.play(1)
+		}
+		for second := range 12 {
+			if change && second == 3 {
+				d.bank = Bank{Bounds: d.bank.Bounds, Since: d.now}
+			}
+			d.play(10)
+		}
+		if got := d.most(); got > allowed {
+			t.Errorf("leader changed %v: got %.0f tokens in 8 s, want at most %.0f", change, got, float64(allowed))
+		}
+		sum := 0.0
+		for _, s := range d.spent[len(d.spent)-8:] {
+			sum += s
+		}
+		if want := 145_000 * 8 * 0.95; sum < want {
+			t.Errorf("leader changed %v: got %.0f tokens in 8 s, want at least %.0f", change, sum, want)
+		}
+	}
+}
+
+// TestQuotaHoldsWithoutLeader cuts all daemons off from the leader, under many times the quota.
+func TestQuotaHoldsWithoutLeader(t *testing.T) {
+	d := newDeployment(7)
+	for range 10 {
+		d.play(10)
+	}
+	for i := range d.reached {
+		d.reached[i] = false
+	}
+	served := 0
+	for range 10 {
+		served += d.play(10)
+	}
+	if got := d.most(); got > allowed {
+		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, float64(allowed))
+	}
+	// The leases add up to the limit, so little less is served without a leader than with one.
+	// 60% of the rate for 10 s, in requests of that size.
+	if want := 72; served < want {
+		t.Errorf("got %d requests served without a leader, want at least %d", served, want)
+	}
+}
+
+// TestQuotaServesAllWithinIt expects no refusal of an account at half its quota.
+func TestQuotaServesAllWithinIt(t *testing.T) {
+	d := newDeployment(7)
+	d.play(1)
+	refused := 0
+	for range 30 {
+		refused += 7 - d.play(1)
+	}
+	if refused > 0 {
+		t.Errorf("got %d refusals, want 0", refused)
+	}
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -8,7 +8,10 @@
 // that is known: no byte had left, or the server said so.
 package retry
 
-import "swiftbeam/pkg/clock"
+import (
+	"swiftbeam/internal/slide"
+	"swiftbeam/pkg/clock"
+)
 
 //go:generate ../../.tools/stringer -type=Result,Action -output=enums_string.go
 
@@ -104,54 +107,22 @@
 	Slack  float64
 	Window clock.Duration
 
-	requests window
-	attempts window
-}
-
-// windowParts is the number of parts into which a sliding window is divided.
-const windowParts = 10
-
-// window counts over the last windowParts parts of a span.
-type window struct {
-	parts [windowParts]int
-	at    int64
-}
-
-func (w *window) add(now clock.Instant, span clock.Duration, n int) {
-	w.roll(now, span)
-	w.parts[w.at%windowParts] += n
-}
-
-func (w *window) sum(now clock.Instant, span clock.Duration) int {
-	w.roll(now, span)
-	total := 0
-	for _, n := range w.parts {
-		total += n
-	}
-	return total
-}
-
-func (w *window) roll(now clock.Instant, span clock.Duration) {
-	at := int64(now) / max(int64(span)/windowParts, 1)
-	if at-w.at >= windowParts {
-		w.parts = [windowParts]int{}
-		w.at = at
-	}
-	for w.at < at {
-		w.at++
-		w.parts[w.at%windowParts] = 0
-	}
+	requests slide.Window
+	attempts slide.Window
 }
 
 // Arrived counts a request of a caller.
-func (b *Budget) Arrived(now clock.Instant) { b.requests.add(now, b.Window, 1) }
+func (b *Budget) Arrived(now clock.Instant) {
+	b.requests.Span = b.Window
+	b.requests.Add(now, 1)
+}
 
 // Take asks for a further attempt and counts it when it is granted.
 func (b *Budget) Take(now clock.Instant) bool {
-	allowed := b.Ratio*float64(b.requests.sum(now, b.Window)) + b.Slack
-	if float64(b.attempts.sum(now, b.Window)+1) > allowed {
+	b.attempts.Span = b.Window
+	if b.attempts.Sum(now)+1 > b.Ratio*b.requests.Sum(now)+b.Slack {
 		return false
 	}
-	b.attempts.add(now, b.Window, 1)
+	b.attempts.Add(now, 1)
 	return true
 }
