--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -135,8 +135,9 @@
 
 // Retry-After hints.
 const (
-	// unknownRulesRetry is the time in which a starting daemon usually learns the rules.
-	unknownRulesRetry = 300 * clock.Millisecond
+	// unknownRulesRetry is the time in which a starting daemon learns the rules when all core
+	// daemons start with it.
+	unknownRulesRetry = clock.Second
 	// noServerRetry is the time in which a crashed server is usually replaced or found again.
 	noServerRetry = 500 * clock.Millisecond
 	// maxRetryAfter bounds a hint, as a caller gives up after that.
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -66,6 +66,9 @@
 	c.log = entryLog{base: snap, entries: entries}
 	c.Commit = snap.Index
 	c.rescanMembers()
+	// After a restart of the whole group nobody leads; the pre-vote keeps this from disturbing one
+	// that does.
+	c.electAt = now.Add(c.Settings.ElectionTimeout/4 + c.electAt.Sub(now)/4)
 	return c
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -35,17 +35,17 @@
 	// way between daemon and server, and daemons that are lost with what they spent.
 	excessPart = 0.5
 	// grantAhead is the time for which a daemon is granted what its callers ask for.
-	grantAhead = 600 * clock.Millisecond
+	grantAhead = 900 * clock.Millisecond
 	// regularReport is the least time between reports that do not ask for a grant in a hurry.
 	regularReport = 150 * clock.Millisecond
-	maxAhead      = 2.5
+	maxAhead      = 3.5
 	// surplusReports is the demand, in reports, that a daemon keeps without using it.
 	surplusReports = 4
 	usualWeight    = 0.3
 	// lostAfter is the silence after which the leader takes a daemon to live on its lease; a
 	// daemon begins to do so only after leaseAfter.
-	lostAfter  = 600 * clock.Millisecond
-	leaseAfter = 900 * clock.Millisecond
+	lostAfter  = 450 * clock.Millisecond
+	leaseAfter = 600 * clock.Millisecond
 	// listenFirst is how long a new leader listens before it grants.
 	listenFirst = 350 * clock.Millisecond
 	// leasePart is the part of the limit that is leased by need; the rest is leased evenly, so
