--- /dev/null
+++ b/internal/core/buying.go
@@ -0,0 +1,188 @@
+package core
+
+import (
+	"context"
+	"slices"
+
+	"swiftbeam/internal/duty"
+	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/rules"
+	"swiftbeam/internal/scale"
+	"swiftbeam/internal/slide"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+const (
+	// soldOutFor is the pause before a zone without spot replicas is asked again.
+	soldOutFor = 2 * clock.Second
+	// assertEvery is how often an order is repeated where its effect does not show.
+	assertEvery = 8 * clock.Second
+	// longDemand and shortDemand are the spans over which demand is averaged; the larger counts.
+	longDemand  = 12 * clock.Second
+	shortDemand = 3 * clock.Second
+	// leastNeed is the number of replicas that a service keeps without any demand.
+	leastNeed = 3
+)
+
+// market is what the leader knows of the replicas and the demand of one service.
+type market struct {
+	mix     scale.Mix
+	ordered map[place]order
+	soldOut map[string]clock.Instant
+	long    [2]slide.Window
+	short   [2]slide.Window
+	since   clock.Instant
+}
+
+// place is a kind of replica in an availability zone.
+type place struct {
+	zone string
+	spot bool
+}
+
+// order is the last order that the cloud took.
+type order struct {
+	count int
+	at    clock.Instant
+}
+
+// counters are the last cumulative counts that an entry daemon reported of a service.
+type counters struct{ prefill, output uint64 }
+
+func (d *desk) market(now clock.Instant, service string) *market {
+	if d.markets == nil {
+		d.markets = make(map[string]*market)
+	}
+	m := d.markets[service]
+	if m == nil {
+		m = &market{ordered: make(map[place]order), soldOut: make(map[string]clock.Instant), since: now}
+		for i := range m.long {
+			m.long[i].Span, m.short[i].Span = longDemand, shortDemand
+		}
+		d.markets[service] = m
+	}
+	return m
+}
+
+// hearDemand adds what an entry daemon reported to the demand of each service.
+func (d *desk) hearDemand(now clock.Instant, run string, list []*peerpb.ServiceDemand) {
+	if d.demands == nil {
+		d.demands = make(map[string]counters)
+	}
+	for _, s := range list {
+		key := run + "/" + s.GetService()
+		last, known := d.demands[key]
+		d.demands[key] = counters{prefill: s.GetPrefill(), output: s.GetOutput()}
+		if !known {
+			continue
+		}
+		m := d.market(now, s.GetService())
+		for i, n := range []uint64{s.GetPrefill() - last.prefill, s.GetOutput() - last.output} {
+			m.long[i].Add(now, float64(n))
+			m.short[i].Add(now, float64(n))
+		}
+	}
+}
+
+// need returns the replicas that the demand asks for.
+func (m *market) need(now clock.Instant) int {
+	rate := func(w *[2]slide.Window, span clock.Duration) scale.Work {
+		span = max(min(span, now.Sub(m.since)), clock.Second)
+		return scale.Work{Prefill: w[0].Sum(now) * 1000 / float64(span), Output: w[1].Sum(now) * 1000 / float64(span)}
+	}
+	return max(scale.Need(rate(&m.long, longDemand)), scale.Need(rate(&m.short, shortDemand))*3/4, leastNeed)
+}
+
+// buy orders replicas for all services that may be scaled.
+func (c *Core) buy(ctx context.Context) {
+	set := c.set.Load()
+	if set == nil || !c.maySend() {
+		return
+	}
+	for i := range set.Services {
+		if s := &set.Services[i]; s.Scaling != nil {
+			c.buyFor(ctx, s)
+		}
+	}
+}
+
+func (c *Core) buyFor(ctx context.Context, s *rules.Service) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	m := c.desk.market(now, s.Name)
+	need := m.need(now)
+	zones := c.zones(s, m)
+	bounds := scale.Bounds{Least: s.Scaling.Least, Most: s.Scaling.Most, Boot: s.Scaling.Boot, SpotPrice: s.Scaling.SpotPrice}
+	wants := m.mix.Decide(now, need, bounds, zones)
+	c.mu.Unlock()
+	for i, w := range wants {
+		// More comes before less, so that the bounds of a zone hold on the way.
+		kinds := []duty.Order{{Service: s.Name, Zone: w.Zone, Replicas: w.Spot, Spot: true}, {Service: s.Name, Zone: w.Zone, Replicas: w.OnDemand}}
+		if w.OnDemand > zones[i].OnDemand {
+			slices.Reverse(kinds)
+		}
+		for _, o := range kinds {
+			have := zones[i].OnDemand
+			if o.Spot {
+				have = zones[i].Spot
+			}
+			c.order(ctx, m, o, have, need)
+		}
+	}
+}
+
+// zones counts the replicas of a service.
+func (c *Core) zones(s *rules.Service, m *market) []scale.Zone {
+	var zones []scale.Zone
+	for name, price := range s.Scaling.ZonePrices {
+		zones = append(zones, scale.Zone{Name: name, Price: price, SoldOut: m.soldOut[name]})
+	}
+	slices.SortFunc(zones, func(a, b scale.Zone) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	for _, r := range c.table.ByID {
+		if r.Service != s.Name || r.State > enrol.Silent {
+			continue
+		}
+		for i := range zones {
+			if zones[i].Name == r.Zone && r.Spot {
+				zones[i].Spot++
+			} else if zones[i].Name == r.Zone {
+				zones[i].OnDemand++
+			}
+		}
+	}
+	return zones
+}
+
+// order sends one order where it differs from the last, or where its effect does not show.
+func (c *Core) order(ctx context.Context, m *market, o duty.Order, have, need int) {
+	now := c.clock.Now()
+	at := place{zone: o.Zone, spot: o.Spot}
+	last, known := m.ordered[at]
+	if !known && have == o.Replicas {
+		return
+	}
+	if known && last.count == o.Replicas && (have == o.Replicas || now.Sub(last.at) < assertEvery) {
+		return
+	}
+	if !c.maySend() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
+	defer cancel()
+	fence := c.desk.tenure.Fence
+	answer, err := c.options.Cloud.Scale(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, o)
+	c.log.Info("replicas ordered", "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas, "serving", have,
+		"need", need, "fence", fence, "answer", answer.String(), "error", errorText(err))
+	switch answer {
+	case duty.Accepted:
+		m.ordered[at] = order{count: o.Replicas, at: now}
+	case duty.SoldOut:
+		m.soldOut[o.Zone] = now.Add(soldOutFor)
+	}
+}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -31,6 +31,8 @@
 	bank    quota.Bank
 	book    usage.Book
 	tenure  duty.Tenure
+	markets map[string]*market
+	demands map[string]counters
 	// reported is the last window that the cloud took.
 	reported uint64
 }
@@ -71,6 +73,7 @@
 		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
 	}
 	d.book.Hear(name+"/"+r.Msg.GetBoot(), windows)
+	d.hearDemand(now, name+"/"+r.Msg.GetBoot(), r.Msg.GetDemands())
 	return connect.NewResponse(c.answer(now, name, r.Msg, every)), nil
 }
 
@@ -140,6 +143,9 @@
 	if c.Settings.Duties.Usage {
 		c.reportUsage(ctx)
 	}
+	if c.Settings.Duties.Scaling {
+		c.buy(ctx)
+	}
 }
 
 // takeDuties asks the log for the duties.
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -39,8 +39,6 @@
 	f.mu.Lock()
 	g := f.group(x.service)
 	g.Arrived++
-	g.Prompt += uint64(x.ask.Prompt)
-	g.Output += uint64(x.ask.Output)
 	g.Budget.Arrived(f.Clock.Now())
 	f.mu.Unlock()
 	x.events = x.ask.After
@@ -159,6 +157,8 @@
 	f.mu.Lock()
 	g := f.group(x.service)
 	a.flight = g.Start(f.Clock.Now(), a.choice, x.query())
+	g.Prompt += uint64(max(x.ask.Prompt-a.choice.Cached, 0))
+	before := x.eventsN
 	limit := g.Connections
 	entries := max(f.purse.Entries, 1)
 	f.mu.Unlock()
@@ -171,6 +171,7 @@
 		failed = false
 	}
 	g.Finish(f.Clock.Now(), a.flight, failed)
+	g.Output += uint64((x.eventsN - before) * g.EventTokens)
 	f.mu.Unlock()
 	return result
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -126,6 +126,8 @@
 	place.Service
 	Budget      retry.Budget
 	Connections int
+	// EventTokens is the usual number of tokens in one event.
+	EventTokens int
 	Arrived     uint64
 	Refused     uint64
 	Prompt      uint64
@@ -199,6 +201,9 @@
 
 func (f *Front) configure(g *Group, s *rules.Service) {
 	g.Connections = s.Connections
+	if s.Engine != nil {
+		g.EventTokens = max(s.Engine.EventTokens, 1)
+	}
 	if s.Engine != nil && !g.Engine {
 		g.Engine = true
 		g.Costs = place.EngineCosts
