--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -18,11 +18,13 @@
 	soldOutFor = 2 * clock.Second
 	// assertEvery is how often an order is repeated where its effect does not show.
 	assertEvery = 8 * clock.Second
+	// bootSlack is the time beyond the boot time in which an ordered replica is still expected.
+	bootSlack = 2 * clock.Second
 	// longDemand and shortDemand are the spans over which demand is averaged; the larger counts.
 	longDemand  = 12 * clock.Second
 	shortDemand = 3 * clock.Second
 	// leastNeed is the number of replicas that a service keeps without any demand.
-	leastNeed = 3
+	leastNeed = 4
 )
 
 // market is what the leader knows of the replicas and the demand of one service.
@@ -113,7 +115,7 @@
 	m := c.desk.market(now, s.Name)
 	need := m.need(now)
 	zones := c.zones(s, m)
-	bounds := scale.Bounds{Least: s.Scaling.Least, Most: s.Scaling.Most, Boot: s.Scaling.Boot, SpotPrice: s.Scaling.SpotPrice}
+	bounds := scale.Bounds{Least: s.Scaling.Least, Most: s.Scaling.Most, SpotPrice: s.Scaling.SpotPrice}
 	wants := m.mix.Decide(now, need, bounds, zones)
 	c.mu.Unlock()
 	for i, w := range wants {
@@ -156,6 +158,12 @@
 			}
 		}
 	}
+	for i := range zones {
+		last := m.ordered[place{zone: zones[i].Name, spot: true}]
+		if last.at > 0 && c.clock.Now().Sub(last.at) < s.Scaling.Boot+bootSlack {
+			zones[i].SpotComing = max(last.count-zones[i].Spot, 0)
+		}
+	}
 	return zones
 }
 
@@ -170,6 +178,9 @@
 	if known && last.count == o.Replicas && (have == o.Replicas || now.Sub(last.at) < assertEvery) {
 		return
 	}
+	if o.Spot && o.Replicas > have && m.soldOut[o.Zone].After(now) {
+		return
+	}
 	if !c.maySend() {
 		return
 	}
@@ -184,5 +195,6 @@
 		m.ordered[at] = order{count: o.Replicas, at: now}
 	case duty.SoldOut:
 		m.soldOut[o.Zone] = now.Add(soldOutFor)
+		delete(m.ordered, at)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -268,7 +268,7 @@
 	saved   *answer
 
 	// abort ends the caller's connection instead of completing the answer.
-	abort   bool
+	abort bool
 	// size is what the request counts against the account's quota.
 	size    float64
 	outcome string
--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -15,6 +15,8 @@
 	// OnDemand and Spot are the replicas that serve; those being taken back are not counted.
 	OnDemand int
 	Spot     int
+	// SpotComing are ordered spot replicas that are expected to serve soon.
+	SpotComing int
 	// SoldOut is the instant until which no spot replica is asked for.
 	SoldOut clock.Instant
 }
@@ -30,8 +32,6 @@
 type Bounds struct {
 	Least int
 	Most  int
-	// Boot is the time after which an ordered replica serves.
-	Boot clock.Duration
 	// SpotPrice is the price of a spot replica as a part of the on-demand price; zero where none
 	// are sold.
 	SpotPrice float64
@@ -45,28 +45,32 @@
 // where an on-demand replica costs several spot ones.
 type Mix struct {
 	wants   map[string]*Want
-	since   map[string]orderedAt
 	enough  clock.Instant
 	startAt clock.Instant
+	// peaks are the needs of the last seconds, newest last.
+	peaks []peak
 }
 
-// orderedAt are the instants of the last larger orders of a zone.
-type orderedAt struct{ spot, onDemand clock.Instant }
+type peak struct {
+	at   clock.Instant
+	need int
+}
 
 const (
 	// keepSurplus is how long on-demand replicas stay after spot replicas suffice.
 	keepSurplus = 3 * clock.Second
-	// bootSlack is the time beyond the boot time in which an ordered replica is still expected.
-	bootSlack = 2 * clock.Second
+	// keepPeak is how long a need is taken to come again.
+	keepPeak = 8 * clock.Second
+	// spotMargin is the part by which spot replicas exceed the need, as they cost little.
+	spotMargin = 1.25
 	// firstSurvey is the time in which a new leader hears from all servers.
 	firstSurvey = 2 * clock.Second
 )
 
-// Decide returns what to order in each zone, ordered by name.
+// Decide returns what to order in each zone, in the order of zones.
 func (m *Mix) Decide(now clock.Instant, need int, b Bounds, zones []Zone) []Want {
 	if m.wants == nil {
 		m.wants = make(map[string]*Want)
-		m.since = make(map[string]orderedAt)
 		m.startAt = now
 	}
 	if now.Sub(m.startAt) < firstSurvey {
@@ -77,53 +81,38 @@
 			m.wants[z.Name] = &Want{Zone: z.Name, OnDemand: z.OnDemand, Spot: z.Spot}
 		}
 	}
+	need = m.recent(now, need)
 	m.wantSpot(now, need, b, zones)
 	m.wantOnDemand(now, need, b, zones)
 	var out []Want
 	for _, z := range zones {
 		out = append(out, *m.wants[z.Name])
 	}
-	slices.SortFunc(out, func(x, y Want) int { return cmp.Compare(x.Zone, y.Zone) })
 	return out
 }
 
-// wantSpot spreads spot replicas evenly, so that what remains without any one zone meets the need.
+// recent returns the largest need of the last seconds.
+func (m *Mix) recent(now clock.Instant, need int) int {
+	m.peaks = slices.DeleteFunc(m.peaks, func(p peak) bool { return now.Sub(p.at) > keepPeak || p.need <= need })
+	m.peaks = append(m.peaks, peak{at: now, need: need})
+	return m.peaks[0].need
+}
+
+// wantSpot spreads spot replicas evenly, so that what remains without any one zone exceeds the
+// need. A zone that is sold out keeps its order for later.
 func (m *Mix) wantSpot(now clock.Instant, need int, b Bounds, zones []Zone) {
 	if b.SpotPrice <= 0 || len(zones) == 0 {
 		return
 	}
 	others := max(len(zones)-1, 1)
-	each := (need + others - 1) / others
+	each := int(math.Ceil(spotMargin * float64(need) / float64(others)))
 	for _, z := range zones {
 		w := m.wants[z.Name]
-		count := max(min(each, b.Most-w.OnDemand), 0)
-		if count < w.Spot && count+w.OnDemand < max(b.Least, 1) {
-			count = max(b.Least, 1) - w.OnDemand
-		}
 		if z.SoldOut.After(now) {
-			// Ask for no more than there are, and again later.
-			count = min(count, z.Spot)
-		}
-		if count > w.Spot {
-			at := m.since[z.Name]
-			at.spot = now
-			m.since[z.Name] = at
+			continue
 		}
-		w.Spot = count
-	}
-}
-
-// coming returns the replicas that serve or are expected soon.
-func (m *Mix) coming(now clock.Instant, b Bounds, z Zone) (spot, onDemand int) {
-	w, at := m.wants[z.Name], m.since[z.Name]
-	spot, onDemand = z.Spot, z.OnDemand
-	if at.spot > 0 && now.Sub(at.spot) < b.Boot+bootSlack {
-		spot = max(spot, w.Spot)
-	}
-	if at.onDemand > 0 && now.Sub(at.onDemand) < b.Boot+bootSlack {
-		onDemand = max(onDemand, w.OnDemand)
+		w.Spot = max(min(each, b.Most-w.OnDemand), 0)
 	}
-	return spot, onDemand
 }
 
 // safe returns the spot replicas that remain without the zone that has most.
@@ -141,9 +130,8 @@
 	var serving, expected []int
 	have := 0
 	for _, z := range zones {
-		spot, _ := m.coming(now, b, z)
 		serving = append(serving, z.Spot)
-		expected = append(expected, spot)
+		expected = append(expected, z.Spot+z.SpotComing)
 		have += m.wants[z.Name].OnDemand
 	}
 	low := max(need-safe(expected), 0)
@@ -151,7 +139,7 @@
 	switch {
 	case have < low:
 		m.enough = 0
-		m.add(now, low-have, b, zones)
+		m.add(low-have, b, zones)
 	case have > high:
 		if m.enough == 0 {
 			m.enough = now
@@ -166,39 +154,30 @@
 		// A zone that had all its spot replicas taken back keeps its least number.
 		w := m.wants[z.Name]
 		if z.SoldOut.After(now) && z.Spot+w.OnDemand < b.Least {
-			m.order(now, w, b.Least-z.Spot)
+			w.OnDemand = b.Least - z.Spot
 		}
 	}
 }
 
-func (m *Mix) order(now clock.Instant, w *Want, onDemand int) {
-	if onDemand > w.OnDemand {
-		at := m.since[w.Zone]
-		at.onDemand = now
-		m.since[w.Zone] = at
-	}
-	w.OnDemand = onDemand
-}
-
 // add orders more on demand, one at a time where there are fewest, the cheapest first.
-func (m *Mix) add(now clock.Instant, n int, b Bounds, zones []Zone) {
+func (m *Mix) add(n int, b Bounds, zones []Zone) {
 	for range n {
-		best := -1
+		var best *Want
 		lowest := math.Inf(1)
-		for i, z := range zones {
+		for _, z := range zones {
 			w := m.wants[z.Name]
-			if w.OnDemand+max(z.Spot, 0) >= b.Most {
+			if w.OnDemand+z.Spot >= b.Most {
 				continue
 			}
 			if cost := float64(w.OnDemand) + z.Price/10; cost < lowest {
-				best, lowest = i, cost
+				best, lowest = w, cost
 			}
 		}
-		if best < 0 {
+		if best == nil {
 			return
 		}
-		w := m.wants[zones[best].Name]
-		m.order(now, w, w.OnDemand+1)
+		best.OnDemand++
+		best.Spot = min(best.Spot, b.Most-best.OnDemand)
 	}
 }
 
