--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -15,10 +15,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
 
 	"swiftbeam/internal/core"
 	"swiftbeam/internal/edge"
+	"swiftbeam/internal/meter"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/trail"
 	"swiftbeam/pkg/clock"
@@ -85,11 +87,14 @@
 	}()
 	log := newLogger(lines).WithValues("daemon", s.Name)
 	log.Info("starting", "role", s.Role.String(), "zone", s.Zone, "seeds", s.Seeds, "found", s.Found, "go", runtime.Version())
-	n, err := startNode(ctx, s, log)
+	registry := metrics.NewRegistry()
+	meter.Gauge(registry, "log.linesDropped", lines.Dropped.Load)
+	n, err := startNode(ctx, s, log, registry)
 	if err != nil {
 		log.Error(err, "not started")
 		return err
 	}
+	showMetrics(s.Metrics, registry, log)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	awaitStop(signals, path, n, log)
@@ -143,13 +148,29 @@
 	}
 }
 
-func startNode(ctx context.Context, s *setup.Node, log logr.Logger) (node, error) {
+// showMetrics serves the metrics. The daemon goes on without them where that fails.
+func showMetrics(address string, registry metrics.Registry, log logr.Logger) {
+	if address == "" {
+		return
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		log.Error(err, "metrics are not shown", "address", address)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", meter.Handler(registry))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+}
+
+func startNode(ctx context.Context, s *setup.Node, log logr.Logger, registry metrics.Registry) (node, error) {
 	c := clock.Start()
 	if s.Role == setup.Entry {
-		e := edge.New(s, edge.Options{Log: log, Clock: c, Dialect: platform.Callers{}, Decode: platform.DecodeRules})
+		e := edge.New(s, edge.Options{Log: log, Clock: c, Dialect: platform.Callers{}, Decode: platform.DecodeRules, Metrics: registry})
 		return e, e.Start(ctx)
 	}
-	options := core.Options{Log: log, Clock: c, Decode: platform.DecodeRules}
+	options := core.Options{Log: log, Clock: c, Decode: platform.DecodeRules, Metrics: registry}
 	if s.Duties.Address != "" {
 		dialer := &net.Dialer{Timeout: time.Second}
 		options.Cloud = &platform.Cloud{Address: s.Duties.Address, HTTP: &http.Client{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -21,12 +21,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/group"
 	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/meter"
 	"swiftbeam/internal/peers"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/rules"
@@ -66,6 +68,8 @@
 	// Decode reads the rules document of an operator.
 	Decode func(text []byte) (*rules.Set, error)
 	Cloud  Cloud
+	// Metrics takes the daemon's counters; nil means none are shown.
+	Metrics metrics.Registry
 }
 
 // Cloud takes the calls of the duties.
@@ -94,6 +98,7 @@
 	work     kernel.Group
 	cancel   context.CancelFunc
 	servers  []*http.Server
+	commits  metrics.Histogram
 
 	mu    sync.Mutex
 	table enrol.Table
@@ -132,9 +137,33 @@
 		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, Log: c.log, Client: c.Net.FeedClient,
 		Seeds: c.otherCores, OnEvent: c.hear,
 	}
+	if o.Metrics != nil {
+		c.measure(o.Metrics)
+	}
 	return c, nil
 }
 
+// measure registers the counters of the daemon.
+func (c *Core) measure(r metrics.Registry) {
+	c.commits = meter.NewHistogram(r, "core.commitMs")
+	meter.Gauge(r, "core.applied", func() int64 { return int64(c.Store.Status().Applied) })
+	meter.Gauge(r, "core.term", func() int64 { return int64(c.Store.Status().Term) })
+	meter.Gauge(r, "core.logLength", func() int64 { return int64(c.Store.Status().LogLength) })
+	meter.Gauge(r, "core.members", func() int64 { return int64(len(c.Store.Status().Members)) })
+	meter.Gauge(r, "core.entries", func() int64 { return int64(c.Source.Entries()) })
+	meter.Gauge(r, "core.leads", func() int64 {
+		if c.leads() {
+			return 1
+		}
+		return 0
+	})
+	meter.Gauge(r, "core.servers", func() int64 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return int64(len(c.table.ByID))
+	})
+}
+
 func wallClock() clock.Instant { return clock.FromTime(time.Now()) }
 
 func randomName() string {
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -28,7 +28,12 @@
 func (c *Core) propose(ctx context.Context, body state.Body) (state.Result, error) {
 	short, cancel := context.WithTimeout(ctx, orderTimeout.Std())
 	defer cancel()
-	return c.Store.Propose(short, body)
+	began := c.clock.Now()
+	result, err := c.Store.Propose(short, body)
+	if c.commits != nil && err == nil {
+		c.commits.Update(int64(c.clock.Now().Sub(began)))
+	}
+	return result, err
 }
 
 // awaitVoters returns once the group has all its voters, so that an acknowledged change survives
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,11 +19,13 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/front"
 	"swiftbeam/internal/kernel"
+	"swiftbeam/internal/meter"
 	"swiftbeam/internal/peers"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
@@ -56,7 +58,8 @@
 	Clock   clock.Clock
 	Dialect front.Dialect
 	Decode  func(text []byte) (*rules.Set, error)
-	Observe func(took clock.Duration)
+	// Metrics takes the daemon's counters; nil means none are shown.
+	Metrics metrics.Registry
 }
 
 // Edge is one process.
@@ -102,8 +105,8 @@
 	e.Pool = &pool.Pool{Clock: e.clock}
 	e.Front = &front.Front{
 		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, TrueTime: e.trueTime,
-		MoreQuota: e.moreQuota, Observe: o.Observe,
-		Retries: retry.Budget{Ratio: retryPart * s.Retries.Ratio, Slack: retryPart * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
+		MoreQuota: e.moreQuota,
+		Retries:   retry.Budget{Ratio: retryPart * s.Retries.Ratio, Slack: retryPart * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
 	e.Front.SetWindows(s.Duties.UsageWindow, s.Quota.Window)
 	e.Follower = &feed.Follower{
@@ -111,9 +114,36 @@
 		Seeds: func() []string { return *e.seeds.Load() }, OnEvent: e.hear,
 	}
 	e.tally.wake = make(chan struct{}, 1)
+	if o.Metrics != nil {
+		e.measure(o.Metrics)
+	}
 	return e
 }
 
+// measure registers the counters of the daemon.
+func (e *Edge) measure(r metrics.Registry) {
+	first := meter.NewHistogram(r, "entry.firstAnswerMs")
+	e.Front.Observe = func(took clock.Duration) { first.Update(int64(took)) }
+	c := &e.Front.Counts
+	for name, counter := range map[string]*atomic.Int64{
+		"entry.requests": &c.Requests, "entry.refused": &c.Refused, "entry.failed": &c.Failed, "entry.attempts": &c.Attempts,
+		"entry.cut": &c.Cut, "entry.abandoned": &c.Abandoned, "entry.events": &c.Events, "entry.connectionsOpened": &e.Pool.Opened,
+	} {
+		meter.Gauge(r, name, counter.Load)
+	}
+	meter.Gauge(r, "entry.inFlight", e.Front.InFlight)
+	meter.Gauge(r, "entry.rulesVersion", func() int64 {
+		if set := e.Front.Rules(); set != nil {
+			return int64(set.Version)
+		}
+		return 0
+	})
+	meter.Gauge(r, "entry.coresHeard", func() int64 {
+		heard, _ := e.Follower.Heard()
+		return int64(heard)
+	})
+}
+
 const (
 	// retryPart is the part of the retry budget that is used; the rest covers windows of other
 	// bounds than the daemon's own.
--- a/internal/manage/metrics.go
+++ b/internal/manage/metrics.go
@@ -1,28 +1,13 @@
 package manage
 
 import (
-	"fmt"
 	"net/http"
-	"slices"
-	"strings"
 
-	"github.com/rcrowley/go-metrics"
+	"swiftbeam/internal/meter"
 )
 
-// metrics writes all counters and gauges in the text format that Prometheus scrapes.
-func (m *Manage) metrics(w http.ResponseWriter, _ *action) error {
-	var lines []string
-	m.Metrics.Each(func(name string, metric any) {
-		name = "swiftbeam_" + strings.ReplaceAll(name, ".", "_")
-		switch v := metric.(type) {
-		case metrics.Counter:
-			lines = append(lines, fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, v.Count()))
-		case metrics.Gauge:
-			lines = append(lines, fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, v.Value()))
-		}
-	})
-	slices.Sort(lines)
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_, _ = w.Write([]byte(strings.Join(lines, "")))
+// metrics shows all counters and gauges.
+func (m *Manage) metrics(w http.ResponseWriter, a *action) error {
+	meter.Handler(m.Metrics).ServeHTTP(w, a.Request)
 	return nil
 }
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,62 @@
+// Package meter shows the counters, gauges and latency histograms of a daemon as text in the
+// format of Prometheus:
+//
+//	registry := metrics.NewRegistry()
+//	http.Handle("/metrics", meter.Handler(registry))
+package meter
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// quantiles are those shown of each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// samples bounds the latencies that a histogram keeps.
+const samples = 512
+
+// NewHistogram registers a histogram of recent latencies in milliseconds.
+func NewHistogram(r metrics.Registry, name string) metrics.Histogram {
+	return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(samples, 0.015))
+}
+
+// Gauge registers a value that is read when it is shown.
+func Gauge(r metrics.Registry, name string, value func() int64) {
+	_ = r.Register(name, metrics.NewFunctionalGauge(value))
+}
+
+// Handler shows all metrics of a registry, ordered by name.
+func Handler(r metrics.Registry) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var lines []string
+		r.Each(func(name string, metric any) {
+			name = "swiftbeam_" + strings.ReplaceAll(name, ".", "_")
+			lines = append(lines, text(name, metric))
+		})
+		slices.Sort(lines)
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		_, _ = w.Write([]byte(strings.Join(lines, "")))
+	})
+}
+
+func text(name string, metric any) string {
+	switch v := metric.(type) {
+	case metrics.Counter:
+		return fmt.Sprintf("# TYPE %s counter\n%s %d\n", name, name, v.Count())
+	case metrics.Gauge:
+		return fmt.Sprintf("# TYPE %s gauge\n%s %d\n", name, name, v.Value())
+	case metrics.Histogram:
+		s := v.Snapshot()
+		out := fmt.Sprintf("# TYPE %s summary\n", name)
+		for i, value := range s.Percentiles(quantiles) {
+			out += fmt.Sprintf("%s{quantile=\"%g\"} %g\n", name, quantiles[i], value)
+		}
+		return out + fmt.Sprintf("%s_sum %d\n%s_count %d\n", name, s.Sum(), name, s.Count())
+	}
+	return ""
+}
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -92,7 +92,7 @@
 		return Cut
 	case a.Result == Failed:
 		return Pass
-	case a.RanBefore || a.Result == Broken:
+	case a.RanBefore || a.Result == Broken || a.Result == TimedOut || a.Result == Whole:
 		return Fail
 	}
 	return Refuse
