Merge records of backend servers in any order

Found by TestStatefulMergeInAnyOrder (rapid): a server that moved freed its address for an older one, and an announced end was forgotten where a later announcement came first. The last start at an address stays known; an announced end outweighs the sequence.

--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -62,8 +62,15 @@
 // Table holds the records by ID. The zero value is ready to use; its owner serialises the calls.
 type Table struct {
 	ByID map[string]*Record
-	// present is the last started server at each address.
-	present map[string]*Record
+	// latest is the last start that was heard of at each address, also of a server that has moved.
+	latest map[string]start
+}
+
+// start names one start of a server.
+type start struct {
+	born clock.Instant
+	id   string
+	at   clock.Instant
 }
 
 // newer reports whether a replaces b, a record of the same ID.
@@ -71,11 +78,9 @@
 	if a.Born != b.Born {
 		return a.Born > b.Born
 	}
-	if b.State == Gone {
-		return false
-	}
-	if a.State == Gone {
-		return true
+	// An end that was announced holds whatever comes later of the same start.
+	if (a.State >= Leaving || b.State >= Leaving) && a.State != b.State {
+		return a.State > b.State
 	}
 	if a.Sequence != b.Sequence {
 		return a.Sequence > b.Sequence
@@ -87,36 +92,35 @@
 func (t *Table) Merge(r Record) bool {
 	if t.ByID == nil {
 		t.ByID = make(map[string]*Record)
-		t.present = make(map[string]*Record)
+		t.latest = make(map[string]start)
+	}
+	if last := t.latest[r.Address]; r.Address != "" && !(start{born: r.Born, id: r.ID}).before(last) {
+		t.latest[r.Address] = start{born: r.Born, id: r.ID, at: r.HeardAt}
 	}
 	old := t.ByID[r.ID]
 	if old != nil && !newer(&r, old) {
 		return false
 	}
-	if old != nil && old.Born == r.Born && old.State == Leaving && r.State < Leaving {
-		r.State = Leaving
+	if old != nil && old.Born == r.Born && r.ReclaimAt == 0 {
 		r.ReclaimAt = old.ReclaimAt
 	}
 	if old != nil && r.Address == "" {
 		r.Address, r.Service, r.Zone, r.Version = old.Address, old.Service, old.Zone, old.Version
 		r.Slots, r.Spot = old.Slots, old.Spot
 	}
-	if old != nil && old.Address != r.Address && t.present[old.Address] == old {
-		delete(t.present, old.Address)
-	}
-	record := &r
-	t.ByID[r.ID] = record
-	at := t.present[r.Address]
-	if at == nil || at == old || at.Born <= r.Born {
-		t.present[r.Address] = record
-	}
+	t.ByID[r.ID] = &r
 	return true
 }
 
+func (s start) before(o start) bool {
+	return s.born < o.born || s.born == o.born && s.id < o.id
+}
+
 // Usable reports whether new work may go to the server: it is ready and nothing started later
 // at its address.
 func (t *Table) Usable(r *Record) bool {
-	return r.State == Ready && t.present[r.Address] == r
+	last := t.latest[r.Address]
+	return r.State == Ready && last.born == r.Born && last.id == r.ID
 }
 
 // All returns the records ordered by ID.
@@ -136,9 +140,6 @@
 	for id, r := range t.ByID {
 		if now.Sub(r.HeardAt) > TombstoneFor {
 			delete(t.ByID, id)
-			if t.present[r.Address] == r {
-				delete(t.present, r.Address)
-			}
 			continue
 		}
 		if r.State == Ready && r.HeardAt.Before(since) {
@@ -146,5 +147,10 @@
 			silent = append(silent, r)
 		}
 	}
+	for address, last := range t.latest {
+		if t.ByID[last.id] == nil && now.Sub(last.at) > TombstoneFor {
+			delete(t.latest, address)
+		}
+	}
 	return silent
 }
--- /dev/null
+++ b/internal/enrol/enrol_test.go
@@ -0,0 +1,99 @@
+package enrol
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "swiftbeam/internal/seeds"
+	"swiftbeam/pkg/clock"
+)
+
+func ready(id, address string, born clock.Instant, sequence uint64) Record {
+	return Record{ID: id, Service: "s", Address: address, Zone: "z", Version: "v1", Slots: 4, Born: born, Sequence: sequence}
+}
+
+func TestLateAnnouncements(t *testing.T) {
+	leaving := ready("a", "x:1", 10, 5)
+	leaving.State = Leaving
+	tests := []struct {
+		name    string
+		records []Record
+		usable  []string
+	}{
+		{"ready", []Record{ready("a", "x:1", 10, 1)}, []string{"a"}},
+		{"leaving, then a late announcement", []Record{leaving, ready("a", "x:1", 10, 4)}, nil},
+		{"leaving, then a newer one that says ready", []Record{leaving, ready("a", "x:1", 10, 6)}, nil},
+		{"gone, then a late announcement", []Record{ready("a", "x:1", 10, 1), {ID: "a", State: Gone, Born: 10, Sequence: 1}, ready("a", "x:1", 10, 9)}, nil},
+		{"gone before it was known", []Record{{ID: "a", State: Gone, Born: 10}, ready("a", "x:1", 10, 9)}, nil},
+		{"started again under its id", []Record{leaving, ready("a", "x:1", 20, 1)}, []string{"a"}},
+		{"another server at the address", []Record{ready("a", "x:1", 10, 9), ready("b", "x:1", 20, 1)}, []string{"b"}},
+		{"late announcement of the server before", []Record{ready("b", "x:1", 20, 1), ready("a", "x:1", 10, 9)}, []string{"b"}},
+		{"silent, then heard again", []Record{ready("a", "x:1", 10, 1), {ID: "a", State: Silent, Born: 10, Sequence: 1, Address: "x:1"}, ready("a", "x:1", 10, 2)}, []string{"a"}},
+	}
+	for _, test := range tests {
+		table := &Table{}
+		for _, r := range test.records {
+			table.Merge(r)
+		}
+		var got []string
+		for _, r := range table.All() {
+			if table.Usable(r) {
+				got = append(got, r.ID)
+			}
+		}
+		if fmt.Sprint(got) != fmt.Sprint(test.usable) {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.usable)
+		}
+	}
+}
+
+// TestStatefulMergeInAnyOrder gives two tables the same records in different orders, some twice.
+func TestStatefulMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Record
+		for range rapid.IntRange(1, 12).Draw(t, "records") {
+			// What a server says is a function of its id, start and sequence; only the core adds
+			// Silent and Gone.
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			born := clock.Instant(rapid.IntRange(1, 3).Draw(t, "born"))
+			r := ready(id, fmt.Sprintf("x:%d", (int(born)+int(id[0]))%2), born*10+clock.Instant(id[0]-'a'), uint64(rapid.IntRange(1, 4).Draw(t, "sequence")))
+			r.State = rapid.SampledFrom([]State{Ready, Silent, Leaving, Gone}).Draw(t, "state")
+			records = append(records, r)
+		}
+		order := rapid.Permutation(records).Draw(t, "order")
+		one, other := &Table{}, &Table{}
+		for _, r := range records {
+			one.Merge(r)
+		}
+		for _, r := range append(order, order[0]) {
+			other.Merge(r)
+		}
+		for id, r := range one.ByID {
+			o := other.ByID[id]
+			if o == nil || o.Born != r.Born || (o.State == Gone) != (r.State == Gone) {
+				t.Fatalf("got %+v and %+v of the same records", r, o)
+			}
+			if one.Usable(r) != other.Usable(o) {
+				t.Fatalf("usable: got %v and %v of the same records: %+v and %+v", one.Usable(r), other.Usable(o), r, o)
+			}
+		}
+	})
+}
+
+func TestExpire(t *testing.T) {
+	table := &Table{}
+	r := ready("a", "x:1", 10, 1)
+	r.HeardAt = 1000
+	table.Merge(r)
+	if got := table.Expire(2000, 900); len(got) != 0 {
+		t.Errorf("got %v silent, want none", got)
+	}
+	if got := table.Expire(7000, 2000); len(got) != 1 {
+		t.Errorf("got %v silent, want one", got)
+	}
+	if table.Expire(clock.Instant(TombstoneFor)+2000, 0); len(table.ByID) != 0 {
+		t.Errorf("got %d records, want none after the tombstone's time", len(table.ByID))
+	}
+}
