--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,6 +35,11 @@
 	eventBatch = 256
 	// SnapshotEntries is the number of applied entries after which the log is shortened.
 	SnapshotEntries = 4096
+	// snapshotBytes is the size of applied commands after which the log is shortened, as it is kept
+	// in memory.
+	snapshotBytes = 512 << 10
+	// reopenEvery is the pause between attempts to use a data folder again that failed.
+	reopenEvery = 300 * clock.Millisecond
 )
 
 // Network sends to other members. Send must not block; messages may be lost.
@@ -56,6 +61,8 @@
 	Log     logr.Logger
 	// SnapshotEvery overrides SnapshotEntries when it is not zero.
 	SnapshotEvery uint64
+	// OpenDisk replaces disk.Open.
+	OpenDisk func(folder string) (*disk.Log, disk.Loaded, error)
 
 	core   *quorum.Core
 	log    *disk.Log
@@ -72,7 +79,10 @@
 	placed  map[uint64]placement   // by log index
 	changed chan struct{}
 	snapAt  uint64
-	failed  error
+	// since is the size of the commands applied after the snapshot.
+	since    int
+	failed   error
+	reopenAt clock.Instant
 }
 
 // placement ties a log index to the ticket that waits for it.
@@ -120,7 +130,10 @@
 	var loaded disk.Loaded
 	if s.Folder != "" {
 		var err error
-		if s.log, loaded, err = disk.Open(s.Folder); err != nil {
+		if s.OpenDisk == nil {
+			s.OpenDisk = disk.Open
+		}
+		if s.log, loaded, err = s.OpenDisk(s.Folder); err != nil {
 			return err
 		}
 		identity = loaded.Identity
@@ -254,11 +267,11 @@
 }
 
 func (s *Store) handle(batch []quorum.Event) {
-	if s.failed != nil {
+	now := s.Clock.Now()
+	if s.failed != nil && !s.reopen(now) {
 		s.refuse(batch)
 		return
 	}
-	now := s.Clock.Now()
 	for _, e := range batch {
 		switch e := e.(type) {
 		case bootstrap:
@@ -271,11 +284,36 @@
 	}
 	if err := s.carryOut(s.core.Take()); err != nil {
 		s.failed = err
-		s.Log.Error(err, "data folder failed; this daemon no longer votes")
+		s.reopenAt = now.Add(reopenEvery)
+		s.Log.Error(err, "data folder failed; this daemon does not vote until it works again")
 	}
 	s.publish(now)
 }
 
+// reopen reads a data folder again that failed, for instance because the disk was full, and goes
+// on from what is in it. It reports false while the folder does not take a write.
+func (s *Store) reopen(now clock.Instant) bool {
+	if now.Before(s.reopenAt) {
+		return false
+	}
+	s.reopenAt = now.Add(reopenEvery)
+	_ = s.log.Close()
+	log, loaded, err := s.OpenDisk(s.Folder)
+	if err == nil {
+		s.log = log
+		log.AppendHard(loaded.Hard)
+		err = log.Sync()
+	}
+	if err != nil {
+		return false
+	}
+	// What was applied stays; it was committed.
+	s.core = quorum.Load(s.Settings, now, loaded.Hard, loaded.Snapshot, loaded.Entries)
+	s.failed = nil
+	s.Log.Info("data folder works again", "lastIndex", s.core.LastIndex(), "term", loaded.Hard.Term)
+	return true
+}
+
 func (s *Store) form(members []quorum.Member) {
 	if !s.fresh || len(s.core.Members()) > 0 {
 		return
@@ -378,6 +416,7 @@
 
 func (s *Store) applyOne(e quorum.Entry) {
 	var result state.Result
+	s.since += len(e.Data)
 	if e.Kind != quorum.Command {
 		s.state.Skip(e.Index)
 	} else if c, err := wire.DecodeCommand(e.Data); err != nil {
@@ -403,7 +442,7 @@
 func (s *Store) compact() error {
 	s.mu.RLock()
 	applied := s.state.Applied
-	due := applied >= s.snapAt+s.SnapshotEvery
+	due := applied >= s.snapAt+s.SnapshotEvery || s.since > snapshotBytes && applied > s.snapAt
 	var data []byte
 	if due {
 		data = wire.EncodeState(s.state)
@@ -412,7 +451,7 @@
 	if !due {
 		return nil
 	}
-	s.snapAt = applied
+	s.snapAt, s.since = applied, 0
 	s.core.Step(s.Clock.Now(), quorum.Compact{Index: applied, Data: data})
 	if s.log == nil {
 		return nil
