--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -59,7 +59,7 @@
 	d := &c.desk
 	if !d.leading {
 		// What an earlier leader granted is not known here.
-		*d = desk{leading: true, entries: make(map[string]*report), bank: quota.Bank{Since: now}, book: d.book, tenure: d.tenure, reported: d.reported}
+		*d = desk{leading: true, entries: make(map[string]*report), bank: quota.Bank{Since: now, Unknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window}, book: d.book, tenure: d.tenure, reported: d.reported}
 		d.bank.Bounds = quota.Bounds(c.Settings.Quota)
 	}
 	name := r.Msg.GetName()
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -16,7 +16,11 @@
 )
 
 const (
-	reconnectPause    = 150 * clock.Millisecond
+	reconnectPause = 150 * clock.Millisecond
+	// firstPause is the pause between attempts of a daemon that has just started, together with
+	// the core daemons perhaps, and firstTime how long that lasts.
+	firstPause        = 50 * clock.Millisecond
+	firstTime         = 3 * clock.Second
 	maxReconnectPause = clock.Second
 	// clockAge is the age up to which another daemon's time of day counts.
 	clockAge = 10 * clock.Second
@@ -157,6 +161,7 @@
 
 // follow keeps a stream from one core daemon.
 func (f *Follower) follow(ctx context.Context, address string) {
+	began := f.Clock.Now()
 	pause := reconnectPause
 	connected := false
 	for ctx.Err() == nil {
@@ -168,6 +173,10 @@
 			f.Log.Info("core daemon lost", "address", address, "events", events, "error", errorText(err))
 		}
 		connected = true
+		if f.Clock.Now().Sub(began) < firstTime {
+			kernel.Pause(ctx, firstPause)
+			continue
+		}
 		kernel.Pause(ctx, pause)
 		pause = min(2*pause, maxReconnectPause)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -112,6 +113,8 @@
 	Draining atomic.Bool
 
 	rules atomic.Pointer[rules.Set]
+	// learned is closed when the first rules come; nil while nobody waits.
+	learned chan struct{}
 
 	mu       sync.Mutex
 	services map[string]*Group
@@ -140,6 +143,9 @@
 	// unknownRulesRetry is the time in which a starting daemon learns the rules when all core
 	// daemons start with it.
 	unknownRulesRetry = clock.Second
+	// rulesWait is how long a request waits for the first rules: well below the time after which a
+	// caller gives up a request that was not answered.
+	rulesWait = 600 * clock.Millisecond
 	// noServerRetry is the time in which a crashed server is usually replaced or found again.
 	noServerRetry = 500 * clock.Millisecond
 	// maxRetryAfter bounds a hint, as a caller gives up after that.
@@ -170,9 +176,35 @@
 		f.configure(f.group(set.Services[i].Name), &set.Services[i])
 	}
 	f.rules.Store(set)
+	if f.learned != nil {
+		close(f.learned)
+		f.learned = nil
+	}
 	return true
 }
 
+// awaitRules returns the rules in force. A daemon that has just started waits for its first ones, as
+// most requests are still answered in time then.
+func (f *Front) awaitRules(ctx context.Context) *rules.Set {
+	if set := f.rules.Load(); set != nil {
+		return set
+	}
+	f.mu.Lock()
+	if f.learned == nil {
+		f.learned = make(chan struct{})
+	}
+	learned := f.learned
+	f.mu.Unlock()
+	timer := time.NewTimer(rulesWait.Std())
+	defer timer.Stop()
+	select {
+	case <-learned:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return f.rules.Load()
+}
+
 // Update calls change with the service of that name while nothing else uses it.
 func (f *Front) Update(service string, change func(*Group)) {
 	f.mu.Lock()
@@ -292,7 +324,7 @@
 	if f.Draining.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
-	x.set = f.rules.Load()
+	x.set = f.awaitRules(x.r.Context())
 	if x.set == nil {
 		x.refuse("no rules yet", unknownRulesRetry)
 		return
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -32,8 +32,11 @@
 
 const (
 	// excessPart is the part of the allowed excess that is used; the rest covers requests on their
-	// way between daemon and server, and daemons that are lost with what they spent.
-	excessPart = 0.5
+	// way between daemon and server.
+	excessPart = 0.85
+	// unknownPart is the part of the limit that is granted while nobody knows what was spent before
+	// the leader and the entry daemons were restarted together.
+	unknownPart = 0.6
 	// grantAhead is the time for which a daemon is granted what its callers ask for.
 	grantAhead = 900 * clock.Millisecond
 	// regularReport is the least time between reports that do not ask for a grant in a hurry.
@@ -94,6 +97,8 @@
 	Bounds Bounds
 	// Since is when this leader began.
 	Since clock.Instant
+	// Unknown is set at a leader that was itself restarted a moment before.
+	Unknown bool
 
 	accounts map[string]map[string]*standing
 }
@@ -122,6 +127,9 @@
 		}
 		mine.spent, mine.held, mine.at = u.Spent, u.Held, now
 		limit := Limit(b.Bounds, a)
+		if b.Unknown && now.Sub(b.Since) < b.Bounds.Window {
+			limit *= unknownPart
+		}
 		left, spent := b.left(now, entries, limit)
 		g := Grant{Account: a.Name, Lease: lease(limit, u.Spent, spent, len(entries))}
 		mine.lease = g.Lease
