--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -9,6 +9,7 @@
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/usage"
+	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -108,10 +109,10 @@
 	}
 	var uses []quota.Use
 	for _, u := range m.GetUses() {
-		uses = append(uses, quota.Use{Account: u.GetAccount(), Wanted: u.GetWanted(), Held: u.GetHeld(), Spent: u.GetSpent()})
+		uses = append(uses, wire.UseFromPB(u))
 	}
 	for _, g := range d.bank.Grant(now, set, name+"/"+m.GetBoot(), uses, every) {
-		out.Grants = append(out.Grants, &peerpb.Grant{Account: g.Account, Quantity: g.Quantity, Lease: g.Lease})
+		out.Grants = append(out.Grants, wire.GrantToPB(&g))
 	}
 	return out
 }
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -11,6 +11,7 @@
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/usage"
+	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -127,7 +128,7 @@
 			})
 		}
 		for _, u := range purse.Uses(e.clock.Now()) {
-			m.Uses = append(m.Uses, &peerpb.AccountUse{Account: u.Account, Wanted: u.Wanted, Held: u.Held, Spent: u.Spent})
+			m.Uses = append(m.Uses, wire.UseToPB(&u))
 		}
 		for _, w := range counter.Windows {
 			counts := make(map[string]uint64, len(w.Counts))
@@ -144,7 +145,7 @@
 func (e *Edge) restore(m *peerpb.TallyRequest) {
 	e.Front.With(func(_ map[string]*front.Group, purse *quota.Purse, _ *usage.Counter) {
 		for _, u := range m.GetUses() {
-			purse.Restore(u.GetAccount(), u.GetWanted())
+			purse.Restore(u.GetAccount(), wire.UseFromPB(u).Wanted)
 		}
 	})
 }
@@ -152,7 +153,7 @@
 func (e *Edge) takeTally(m *peerpb.TallyResponse) {
 	var grants []quota.Grant
 	for _, g := range m.GetGrants() {
-		grants = append(grants, quota.Grant{Account: g.GetAccount(), Quantity: g.GetQuantity(), Lease: g.GetLease()})
+		grants = append(grants, wire.GrantFromPB(g))
 	}
 	others := make(map[string]*peerpb.ServerLoad, len(m.GetOthers()))
 	for _, l := range m.GetOthers() {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -416,14 +416,15 @@
 			quantity = float64(x.ask.Prompt + x.ask.Output)
 		}
 	}
+	level := x.level()
 	f.mu.Lock()
-	f.purse.Want(x.account, quantity)
-	ok := f.purse.Spend(f.Clock.Now(), x.account, quantity)
+	f.purse.Want(x.account, level, quantity)
+	ok := f.purse.Spend(f.Clock.Now(), x.account, level, quantity)
 	f.mu.Unlock()
 	if !ok && f.MoreQuota != nil {
 		f.MoreQuota(ctx)
 		f.mu.Lock()
-		ok = f.purse.Spend(f.Clock.Now(), x.account, quantity)
+		ok = f.purse.Spend(f.Clock.Now(), x.account, level, quantity)
 		f.mu.Unlock()
 	}
 	if !ok {
@@ -432,6 +433,15 @@
 	return ok
 }
 
+// level is the urgency of the request within its account's quota. Requests without a prompt count
+// little and go first.
+func (x *exchange) level() int {
+	if !x.ask.Sized {
+		return 0
+	}
+	return min(max(x.route.Priority, 0), quota.Levels-1)
+}
+
 // limit refuses a request beyond the account's quota.
 func (x *exchange) limit(after clock.Duration) {
 	x.front.Counts.Refused.Add(1)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,6 +11,9 @@
 // leases of all daemons add up to the limit, so the quota also holds while there is no leader, and
 // a new leader learns from the first reports what was spent before.
 //
+// Where an account asks for more than its quota, urgent requests go first: what is left of the limit
+// is kept from less urgent ones below a reserve for each level.
+//
 // The load that it answers: an account that sends many times its quota through all daemons at
 // once, with requests whose sizes differ a hundredfold, next to accounts within their quotas.
 package quota
@@ -56,6 +59,24 @@
 	leasePart = 0.8
 )
 
+// Levels is the number of levels of urgency; level 0 goes first.
+const Levels = 3
+
+// reserves are the parts of the limit that a level leaves to those before it.
+var reserves = [Levels]float64{0, 0.08, 0.2}
+
+// Amounts are quantities by level.
+type Amounts [Levels]float64
+
+// Sum returns the quantity of all levels.
+func (a *Amounts) Sum() float64 {
+	total := 0.0
+	for _, q := range a {
+		total += q
+	}
+	return total
+}
+
 // Limit returns what an account may spend in a window.
 func Limit(b Bounds, a *rules.Account) float64 {
 	slack := 0.0
@@ -70,16 +91,16 @@
 type Use struct {
 	Account string
 	// Wanted is what callers asked for since the last report.
-	Wanted float64
+	Wanted Amounts
 	// Held is what is left of earlier grants, Spent what went in the last window.
-	Held  float64
+	Held  Amounts
 	Spent float64
 }
 
 // Grant is a part of a quota for one entry daemon.
 type Grant struct {
 	Account  string
-	Quantity float64
+	Quantity Amounts
 	// Lease is what the daemon may spend in a window without a leader.
 	Lease float64
 }
@@ -125,7 +146,7 @@
 			mine = &standing{}
 			entries[entry] = mine
 		}
-		mine.spent, mine.held, mine.at = u.Spent, u.Held, now
+		mine.spent, mine.held, mine.at = u.Spent, u.Held.Sum(), now
 		limit := Limit(b.Bounds, a)
 		if b.Unknown && now.Sub(b.Since) < b.Bounds.Window {
 			limit *= unknownPart
@@ -133,19 +154,32 @@
 		left, spent := b.left(now, entries, limit)
 		g := Grant{Account: a.Name, Lease: lease(limit, u.Spent, spent, len(entries))}
 		mine.lease = g.Lease
-		ahead := u.Wanted
-		if every >= regularReport {
-			ahead *= min(max(float64(grantAhead)/float64(every), 1), maxAhead)
-		}
-		if quantity := min(ahead-u.Held, left); quantity > 0 && now.Sub(b.Since) >= listenFirst {
-			mine.held += quantity
-			g.Quantity = quantity
+		if now.Sub(b.Since) >= listenFirst {
+			g.Quantity = share(u, left, limit, every)
+			mine.held += g.Quantity.Sum()
 		}
 		grants = append(grants, g)
 	}
 	return grants
 }
 
+// share grants from what is left, the urgent levels first.
+func share(u Use, left, limit float64, every clock.Duration) Amounts {
+	var out Amounts
+	ahead := 1.0
+	if every >= regularReport {
+		ahead = min(max(float64(grantAhead)/float64(every), 1), maxAhead)
+	}
+	for level := range out {
+		quantity := min(u.Wanted[level]*ahead-u.Held[level], left-reserves[level]*limit)
+		if quantity > 0 {
+			out[level] = quantity
+			left -= quantity
+		}
+	}
+	return out
+}
+
 // lease divides the limit by what was spent, with an even part.
 func lease(limit, mine, all float64, entries int) float64 {
 	even := limit / float64(max(entries, 1))
@@ -199,12 +233,12 @@
 
 // Allowance is the state of one account.
 type Allowance struct {
-	Held   float64
-	Wanted float64
+	Held   Amounts
+	Wanted Amounts
 	Lease  float64
 	Spent  slide.Window
 	// usual is the moving average of what callers ask for between reports.
-	usual    float64
+	usual    Amounts
 	reported bool
 }
 
@@ -213,7 +247,9 @@
 	p.ContactAt = now
 	for _, g := range grants {
 		a := p.allowance(g.Account)
-		a.Held += g.Quantity
+		for level := range a.Held {
+			a.Held[level] += g.Quantity[level]
+		}
 		a.Lease = g.Lease
 	}
 }
@@ -231,49 +267,80 @@
 }
 
 // Want notes that a caller asked for a quantity.
-func (p *Purse) Want(a *rules.Account, quantity float64) { p.allowance(a.Name).Wanted += quantity }
+func (p *Purse) Want(a *rules.Account, level int, quantity float64) {
+	p.allowance(a.Name).Wanted[level] += quantity
+}
 
-// Spend takes a quantity. It reports false when what is left does not cover it.
-func (p *Purse) Spend(now clock.Instant, a *rules.Account, quantity float64) bool {
+// Spend takes a quantity for a level. It reports false when what is left does not cover it.
+func (p *Purse) Spend(now clock.Instant, a *rules.Account, level int, quantity float64) bool {
 	if a.Rate <= 0 {
 		return true
 	}
 	left := p.allowance(a.Name)
-	switch {
-	case left.Held >= quantity:
-		left.Held -= quantity
-	case now.Sub(p.ContactAt) > leaseAfter && left.Spent.Sum(now)+quantity <= left.Lease:
-	default:
-		return false
+	if !left.take(level, quantity) {
+		leased := left.Lease * (1 - reserves[level])
+		if now.Sub(p.ContactAt) <= leaseAfter || left.Spent.Sum(now)+quantity > leased {
+			return false
+		}
 	}
 	left.Spent.Add(now, quantity)
 	return true
 }
 
+// take spends what is held for a level, then what is held for less urgent ones.
+func (a *Allowance) take(level int, quantity float64) bool {
+	held := 0.0
+	for _, h := range a.Held[level:] {
+		held += h
+	}
+	if held < quantity {
+		return false
+	}
+	for i := level; i < Levels && quantity > 0; i++ {
+		part := min(quantity, a.Held[i])
+		a.Held[i] -= part
+		quantity -= part
+	}
+	return true
+}
+
 // Uses returns what to report, and begins a new report. What is not likely to be used soon goes
 // back to the leader.
 func (p *Purse) Uses(now clock.Instant) []Use {
 	var uses []Use
 	for name, a := range p.Accounts {
-		a.usual += usualWeight * (a.Wanted - a.usual)
-		if keep := surplusReports * a.usual; a.Held > keep && a.Wanted == 0 {
-			a.Held = max(keep, a.Held/2)
-		}
-		if a.Held < 1 {
-			a.Held = 0
-		}
+		a.giveBack()
 		spent := a.Spent.Sum(now)
-		if a.Wanted > 0 || a.Held > 0 || spent > 0 || a.reported {
+		active := a.Wanted.Sum() > 0 || a.Held.Sum() > 0 || spent > 0
+		if active || a.reported {
 			uses = append(uses, Use{Account: name, Wanted: a.Wanted, Held: a.Held, Spent: spent})
 		}
-		a.reported = a.Held > 0 || spent > 0
-		a.Wanted = 0
+		a.reported = active
+		a.Wanted = Amounts{}
 	}
 	return uses
 }
 
+// giveBack drops what is held and not likely to be used soon; the next report tells the leader.
+func (a *Allowance) giveBack() {
+	for level := range a.Held {
+		a.usual[level] += usualWeight * (a.Wanted[level] - a.usual[level])
+		if keep := surplusReports * a.usual[level]; a.Held[level] > keep && a.Wanted[level] == 0 {
+			a.Held[level] = max(keep, a.Held[level]/2)
+		}
+		if a.Held[level] < 1 {
+			a.Held[level] = 0
+		}
+	}
+}
+
 // Restore keeps what a report asked for that was not answered.
-func (p *Purse) Restore(account string, wanted float64) { p.allowance(account).Wanted += wanted }
+func (p *Purse) Restore(account string, wanted Amounts) {
+	a := p.allowance(account)
+	for level := range wanted {
+		a.Wanted[level] += wanted[level]
+	}
+}
 
 // RetryAfter returns when a refused quantity is likely to be granted.
 func RetryAfter(a *rules.Account, quantity float64) clock.Duration {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -43,11 +43,11 @@
 				p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 250))
 			}
 			for range (asks*(step+1))/steps - (asks*step)/steps {
-				p.Want(a, quantity)
-				ok := p.Spend(d.now, a, quantity)
+				p.Want(a, 0, quantity)
+				ok := p.Spend(d.now, a, 0, quantity)
 				if !ok && d.reached[i] {
 					p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 50))
-					ok = p.Spend(d.now, a, quantity)
+					ok = p.Spend(d.now, a, 0, quantity)
 				}
 				if ok {
 					went++
@@ -137,3 +137,44 @@
 		t.Errorf("got %d refusals, want 0", refused)
 	}
 }
+
+// TestUrgentGoesFirst asks for three times the quota, a tenth of it urgent.
+func TestUrgentGoesFirst(t *testing.T) {
+	d := newDeployment(4)
+	a := &d.set.Accounts[0]
+	var asked, went [Levels]int
+	for step := range 1200 {
+		d.now += 50
+		for i, p := range d.purses {
+			if (step+i)%5 == 0 {
+				p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 250))
+			}
+			// In each step one of the daemons is asked for a small urgent and two large requests.
+			if step%4 != i {
+				continue
+			}
+			for level, size := range []float64{1_000, 12_000, 8_000} {
+				if step < 200 {
+					continue
+				}
+				asked[level]++
+				p.Want(a, level, size)
+				ok := p.Spend(d.now, a, level, size)
+				if !ok {
+					p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 50))
+					ok = p.Spend(d.now, a, level, size)
+				}
+				if ok {
+					went[level]++
+				}
+			}
+		}
+	}
+	part := func(level int) float64 { return float64(went[level]) / float64(asked[level]) }
+	if got := part(0); got < 0.97 {
+		t.Errorf("got %.2f of the urgent requests served, want nearly all", got)
+	}
+	if part(1) < part(2) {
+		t.Errorf("got %.2f and %.2f served, want the less urgent level not before", part(1), part(2))
+	}
+}
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/quota"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -30,3 +31,29 @@
 	}
 	return r
 }
+
+// UseToPB maps the use of a quota to its message.
+func UseToPB(u *quota.Use) *peerpb.AccountUse {
+	return &peerpb.AccountUse{Account: u.Account, Wanted: u.Wanted[:], Held: u.Held[:], Spent: u.Spent}
+}
+
+// UseFromPB maps a message to the use of a quota.
+func UseFromPB(m *peerpb.AccountUse) quota.Use {
+	return quota.Use{Account: m.GetAccount(), Wanted: amounts(m.GetWanted()), Held: amounts(m.GetHeld()), Spent: m.GetSpent()}
+}
+
+// GrantToPB maps a grant to its message.
+func GrantToPB(g *quota.Grant) *peerpb.Grant {
+	return &peerpb.Grant{Account: g.Account, Quantity: g.Quantity[:], Lease: g.Lease}
+}
+
+// GrantFromPB maps a message to a grant.
+func GrantFromPB(m *peerpb.Grant) quota.Grant {
+	return quota.Grant{Account: m.GetAccount(), Quantity: amounts(m.GetQuantity()), Lease: m.GetLease()}
+}
+
+func amounts(list []float64) quota.Amounts {
+	var out quota.Amounts
+	copy(out[:], list)
+	return out
+}
