--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -25,6 +25,10 @@
 	shortDemand = 3 * clock.Second
 	// leastNeed is the number of replicas that a service keeps without any demand.
 	leastNeed = 4
+	// firstPart is the part of the replicas found at the start that counts as the need until the
+	// demand has been observed for firstTime.
+	firstPart = 0.6
+	firstTime = 20 * clock.Second
 )
 
 // market is what the leader knows of the replicas and the demand of one service.
@@ -35,6 +39,9 @@
 	long    [2]slide.Window
 	short   [2]slide.Window
 	since   clock.Instant
+	// found are the replicas that served when this leader began to buy.
+	found   int
+	foundAt clock.Instant
 }
 
 // place is a kind of replica in an availability zone.
@@ -93,7 +100,11 @@
 		span = max(min(span, now.Sub(m.since)), clock.Second)
 		return scale.Work{Prefill: w[0].Sum(now) * 1000 / float64(span), Output: w[1].Sum(now) * 1000 / float64(span)}
 	}
-	return max(scale.Need(rate(&m.long, longDemand)), scale.Need(rate(&m.short, shortDemand))*3/4, leastNeed)
+	least := leastNeed
+	if now.Sub(m.foundAt) < firstTime {
+		least = max(least, int(firstPart*float64(m.found)))
+	}
+	return max(scale.Need(rate(&m.long, longDemand)), scale.Need(rate(&m.short, shortDemand))*3/4, least)
 }
 
 // buy orders replicas for all services that may be scaled.
@@ -113,8 +124,14 @@
 	now := c.clock.Now()
 	c.mu.Lock()
 	m := c.desk.market(now, s.Name)
-	need := m.need(now)
 	zones := c.zones(s, m)
+	if m.found == 0 {
+		for _, z := range zones {
+			m.found += z.OnDemand + z.Spot
+		}
+		m.foundAt = now
+	}
+	need := m.need(now)
 	bounds := scale.Bounds{Least: s.Scaling.Least, Most: s.Scaling.Most, SpotPrice: s.Scaling.SpotPrice}
 	wants := m.mix.Decide(now, need, bounds, zones)
 	c.mu.Unlock()
--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -44,9 +44,8 @@
 // It answers a load that varies within seconds on replicas that take seconds to boot, at prices
 // where an on-demand replica costs several spot ones.
 type Mix struct {
-	wants   map[string]*Want
-	enough  clock.Instant
-	startAt clock.Instant
+	wants  map[string]*Want
+	enough clock.Instant
 	// peaks are the needs of the last seconds, newest last.
 	peaks []peak
 }
@@ -63,18 +62,12 @@
 	keepPeak = 8 * clock.Second
 	// spotMargin is the part by which spot replicas exceed the need, as they cost little.
 	spotMargin = 1.25
-	// firstSurvey is the time in which a new leader hears from all servers.
-	firstSurvey = 2 * clock.Second
 )
 
 // Decide returns what to order in each zone, in the order of zones.
 func (m *Mix) Decide(now clock.Instant, need int, b Bounds, zones []Zone) []Want {
 	if m.wants == nil {
 		m.wants = make(map[string]*Want)
-		m.startAt = now
-	}
-	if now.Sub(m.startAt) < firstSurvey {
-		return nil
 	}
 	for _, z := range zones {
 		if m.wants[z.Name] == nil {
@@ -204,7 +197,7 @@
 const (
 	// utilization is the part of an engine's time that may be in use on the mean, so that first
 	// answers come in time while requests arrive in clumps.
-	utilization = 0.5
+	utilization = 0.6
 	// prefillRate and outputRate are the tokens that an engine reads or generates in a second, at
 	// a batch of two dozen.
 	prefillRate = 55_000
