--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -132,6 +132,7 @@
 		Store: c.Store, Net: c.Net, Clock: c.clock, Log: c.log, Silence: silence, Leaving: c.draining.Load,
 		First: c.firstVoters, Others: c.otherCores,
 	}
+	c.joiner.OnCaughtUp = c.refresh
 	c.Source = &feed.Source{Clock: c.clock, WallClock: wallClock, Shared: c.shared}
 	c.Follower = &feed.Follower{
 		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, Log: c.log, Client: c.Net.FeedClient,
@@ -290,7 +291,10 @@
 	}
 	slices.Sort(out.Cores)
 	c.Store.View(func(s *state.State) {
-		out.Rules = s.Rules
+		// Until this daemon has caught up, there may be newer rules.
+		if c.joiner.CaughtUp.Load() {
+			out.Rules = s.Rules
+		}
 		for _, r := range s.Rollouts {
 			copied := *r
 			out.Rollouts = append(out.Rollouts, &copied)
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -21,8 +21,6 @@
 	tallyEvery = 250 * clock.Millisecond
 	// tallyTimeout is several round trips; after it another core daemon is asked.
 	tallyTimeout = 400 * clock.Millisecond
-	// grantWait is how long a request waits for a grant of quota.
-	grantWait = 100 * clock.Millisecond
 )
 
 // tally is the state of reporting to the leader.
@@ -48,20 +46,37 @@
 		done := e.tally.done
 		e.tally.done = nil
 		e.tally.mu.Unlock()
-		e.sendTally(ctx)
-		if done != nil {
+		granted := e.sendTally(ctx)
+		if done != nil && granted {
 			close(done)
+		} else if done != nil {
+			e.keepWaiting(done)
 		}
 		kernel.Pause(ctx, minTally)
 	}
 }
 
+// keepWaiting lets those that wait for a grant wait for the next report as well.
+func (e *Edge) keepWaiting(done chan struct{}) {
+	e.tally.mu.Lock()
+	defer e.tally.mu.Unlock()
+	if e.tally.done == nil {
+		e.tally.done = done
+		return
+	}
+	later := e.tally.done
+	go func() {
+		<-later
+		close(done)
+	}()
+}
+
 // minTally is the least time between two reports.
 const minTally = 10 * clock.Millisecond
 
-// moreQuota reports at once and returns when the answer came.
-func (e *Edge) moreQuota(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, grantWait.Std())
+// moreQuota reports at once and returns when the leader granted, or after patience.
+func (e *Edge) moreQuota(ctx context.Context, patience clock.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, patience.Std())
 	defer cancel()
 	e.tally.mu.Lock()
 	if e.tally.done == nil {
@@ -79,8 +94,8 @@
 	}
 }
 
-// sendTally reports to the leader and takes its answer.
-func (e *Edge) sendTally(ctx context.Context) {
+// sendTally reports to the leader and takes its answer. It reports whether the leader granted.
+func (e *Edge) sendTally(ctx context.Context) bool {
 	e.tally.sending.Lock()
 	defer e.tally.sending.Unlock()
 	request := e.request()
@@ -89,7 +104,8 @@
 		leader = e.Follower.Leader()
 	}
 	if leader == "" {
-		return
+		e.restore(request)
+		return false
 	}
 	short, cancel := context.WithTimeout(ctx, tallyTimeout.Std())
 	defer cancel()
@@ -108,7 +124,13 @@
 		}
 		e.tally.leader = leader
 		e.takeTally(response.Msg)
+		if len(response.Msg.GetGrants()) > 0 {
+			return true
+		}
+		// The leader has just begun; it grants soon.
+		e.restore(request)
 	}
+	return false
 }
 
 // request builds a report.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -103,8 +103,8 @@
 	Log     logr.Logger
 	// TrueTime returns the time of day that the daemons agree on.
 	TrueTime func() clock.Instant
-	// MoreQuota asks for a grant at once; it returns when the answer came or ctx ends.
-	MoreQuota func(ctx context.Context)
+	// MoreQuota asks for a grant at once; it returns when one came, or after patience.
+	MoreQuota func(ctx context.Context, patience clock.Duration)
 	Retries   retry.Budget
 	Counts    Counts
 	// Observe takes the time to the first answer of each request; it may be nil.
@@ -175,6 +175,7 @@
 	for i := range set.Services {
 		f.configure(f.group(set.Services[i].Name), &set.Services[i])
 	}
+	f.purse.Know(set)
 	f.rules.Store(set)
 	if f.learned != nil {
 		close(f.learned)
@@ -420,9 +421,10 @@
 	f.mu.Lock()
 	f.purse.Want(x.account, level, quantity)
 	ok := f.purse.Spend(f.Clock.Now(), x.account, level, quantity)
+	patience := f.purse.Patience(f.Clock.Now())
 	f.mu.Unlock()
 	if !ok && f.MoreQuota != nil {
-		f.MoreQuota(ctx)
+		f.MoreQuota(ctx, patience)
 		f.mu.Lock()
 		ok = f.purse.Spend(f.Clock.Now(), x.account, level, quantity)
 		f.mu.Unlock()
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -47,6 +47,8 @@
 	Silence clock.Duration
 	// Leaving reports that the daemon is being stopped.
 	Leaving func() bool
+	// OnCaughtUp is called when CaughtUp is set; it may be nil.
+	OnCaughtUp func()
 	// CaughtUp is set once the daemon knows every change that was accepted before it started.
 	CaughtUp atomic.Bool
 }
@@ -139,6 +141,9 @@
 		cancel()
 		if err == nil {
 			j.CaughtUp.Store(true)
+			if j.OnCaughtUp != nil {
+				j.OnCaughtUp()
+			}
 			j.Log.Info("caught up", "applied", j.Store.Status().Applied)
 			return
 		}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -52,11 +52,17 @@
 	// daemon begins to do so only after leaseAfter.
 	lostAfter  = 450 * clock.Millisecond
 	leaseAfter = 600 * clock.Millisecond
+	// firstWait is how long a request waits at a daemon that has not heard from a leader yet.
+	firstWait = 500 * clock.Millisecond
+	// overdue is the silence after which the next answer of the leader is late.
+	overdue = 350 * clock.Millisecond
+	// grantWait is how long a request waits for a grant while the leader answers.
+	grantWait = 100 * clock.Millisecond
 	// listenFirst is how long a new leader listens before it grants.
 	listenFirst = 350 * clock.Millisecond
-	// leasePart is the part of the limit that is leased by need; the rest is leased evenly, so
-	// that a daemon without callers can serve some when they move to it.
-	leasePart = 0.8
+	// evenPart is the part of the limit that counts as spent evenly when it is leased, so that a
+	// daemon without callers can serve some when they move to it.
+	evenPart = 0.25
 )
 
 // Levels is the number of levels of urgency; level 0 goes first.
@@ -124,12 +130,13 @@
 	accounts map[string]map[string]*standing
 }
 
-// Grant takes the report of a run of an entry daemon, named NAME/BOOT, and returns its grants.
-// Every is the time since its last report.
+// Grant takes the report of a run of an entry daemon, named NAME/BOOT, and returns its grants; none
+// while a new leader listens. Every is the time since its last report.
 func (b *Bank) Grant(now clock.Instant, set *rules.Set, entry string, uses []Use, every clock.Duration) []Grant {
 	if b.accounts == nil {
 		b.accounts = make(map[string]map[string]*standing)
 	}
+	listening := !b.Unknown && now.Sub(b.Since) < listenFirst
 	var grants []Grant
 	for _, u := range uses {
 		a := set.Account(u.Account)
@@ -154,10 +161,11 @@
 		left, spent := b.left(now, entries, limit)
 		g := Grant{Account: a.Name, Lease: lease(limit, u.Spent, spent, len(entries))}
 		mine.lease = g.Lease
-		if now.Sub(b.Since) >= listenFirst {
-			g.Quantity = share(u, left, limit, every)
-			mine.held += g.Quantity.Sum()
+		if listening {
+			continue
 		}
+		g.Quantity = share(u, left, limit, every)
+		mine.held += g.Quantity.Sum()
 		grants = append(grants, g)
 	}
 	return grants
@@ -182,11 +190,8 @@
 
 // lease divides the limit by what was spent, with an even part.
 func lease(limit, mine, all float64, entries int) float64 {
-	even := limit / float64(max(entries, 1))
-	if all <= 0 {
-		return even
-	}
-	return (1-leasePart)*even + leasePart*limit*mine/all
+	even := evenPart * limit / float64(max(entries, 1))
+	return limit * (mine + even) / (all + evenPart*limit)
 }
 
 // left returns what of the limit is not spent, held or leased, and what was spent.
@@ -238,13 +243,14 @@
 	Lease  float64
 	Spent  slide.Window
 	// usual is the moving average of what callers ask for between reports.
-	usual    Amounts
-	reported bool
+	usual Amounts
 }
 
-// Receive adds the grants of the leader.
+// Receive adds the grants of the leader. A leader that does not grant yet does not count.
 func (p *Purse) Receive(now clock.Instant, grants []Grant) {
-	p.ContactAt = now
+	if len(grants) > 0 {
+		p.ContactAt = now
+	}
 	for _, g := range grants {
 		a := p.allowance(g.Account)
 		for level := range a.Held {
@@ -304,18 +310,36 @@
 	return true
 }
 
+// Patience returns how long a request that is not covered may wait: for a grant, or until the
+// daemon lives on its lease.
+func (p *Purse) Patience(now clock.Instant) clock.Duration {
+	silent := now.Sub(p.ContactAt)
+	switch {
+	case p.ContactAt == 0:
+		return firstWait
+	case silent > overdue && silent < leaseAfter:
+		return leaseAfter - silent + grantWait/4
+	}
+	return grantWait
+}
+
+// Know makes all accounts with a quota part of the reports, so that their leases are known before
+// they are needed.
+func (p *Purse) Know(set *rules.Set) {
+	for i := range set.Accounts {
+		if set.Accounts[i].Rate > 0 {
+			p.allowance(set.Accounts[i].Name)
+		}
+	}
+}
+
 // Uses returns what to report, and begins a new report. What is not likely to be used soon goes
 // back to the leader.
 func (p *Purse) Uses(now clock.Instant) []Use {
 	var uses []Use
 	for name, a := range p.Accounts {
 		a.giveBack()
-		spent := a.Spent.Sum(now)
-		active := a.Wanted.Sum() > 0 || a.Held.Sum() > 0 || spent > 0
-		if active || a.reported {
-			uses = append(uses, Use{Account: name, Wanted: a.Wanted, Held: a.Held, Spent: spent})
-		}
-		a.reported = active
+		uses = append(uses, Use{Account: name, Wanted: a.Wanted, Held: a.Held, Spent: a.Spent.Sum(now)})
 		a.Wanted = Amounts{}
 	}
 	return uses
