--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -68,7 +68,7 @@
 	c.rescanMembers()
 	// After a restart of the whole group nobody leads; the pre-vote keeps this from disturbing one
 	// that does.
-	c.electAt = now.Add(c.Settings.ElectionTimeout/4 + c.electAt.Sub(now)/4)
+	c.electAt = now.Add(c.Settings.ElectionTimeout/6 + c.draw(c.Settings.ElectionTimeout/2))
 	return c
 }
 
@@ -380,11 +380,15 @@
 
 // resetElection draws the next election instant from one to two election timeouts ahead.
 func (c *Core) resetElection(now clock.Instant) {
+	c.electAt = now.Add(c.Settings.ElectionTimeout + c.draw(c.Settings.ElectionTimeout))
+}
+
+// draw returns a random duration below limit.
+func (c *Core) draw(limit clock.Duration) clock.Duration {
 	c.random ^= c.random << 13
 	c.random ^= c.random >> 7
 	c.random ^= c.random << 17
-	spread := clock.Duration(c.random % uint64(max(c.Settings.ElectionTimeout, 1)))
-	c.electAt = now.Add(c.Settings.ElectionTimeout + spread)
+	return clock.Duration(c.random % uint64(max(limit, 1)))
 }
 
 // Saved returns the snapshot that the log starts from and the entries after it.
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -7,7 +7,8 @@
 	c.Role = as
 	c.Leader = ""
 	c.votes = map[ID]bool{c.Settings.Self: true}
-	c.resetElection(now)
+	// A lost election is repeated sooner than a silent leader is given up.
+	c.electAt = now.Add(c.Settings.ElectionTimeout/3 + c.draw(2*c.Settings.ElectionTimeout/3))
 	kind, term := PreVote, c.Hard.Term+1
 	if as == Candidate {
 		c.Hard = HardState{Term: term, Vote: c.Settings.Self}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -35,6 +35,8 @@
 	eventBatch = 256
 	// SnapshotEntries is the number of applied entries after which the log is shortened.
 	SnapshotEntries = 4096
+	// tickEvery is fine enough to keep apart the elections of daemons that start together.
+	tickEvery = 20 * clock.Millisecond
 	// snapshotBytes is the size of applied commands after which the log is shortened, as it is kept
 	// in memory.
 	snapshotBytes = 512 << 10
@@ -247,7 +249,7 @@
 func (s *Store) tick(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.events.Offer(quorum.Tick{})
-		kernel.Pause(ctx, s.Settings.Heartbeat/2)
+		kernel.Pause(ctx, min(s.Settings.Heartbeat/2, tickEvery))
 	}
 }
 
