A new holder of the duties records no usage before it has heard the entry daemons

Test: TestUsageOverTheLossOfTheLeader, failing before; with it the tests of three and five core daemons on loopback: loss of the leader, two wiped disks at once three times over, all killed at once, leaving servers.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -253,6 +253,15 @@
 	return err
 }
 
+// Kill ends the daemon at once, as a crash would.
+func (c *Core) Kill() {
+	for _, s := range c.servers {
+		_ = s.Close()
+	}
+	c.cancel()
+	c.work.Wait()
+}
+
 // watchState passes on each change of the replicated state.
 func (c *Core) watchState(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,402 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
+
+	"swiftbeam/internal/duty"
+	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/feed"
+	"swiftbeam/internal/peers"
+	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/rules"
+	"swiftbeam/internal/setup"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/usage"
+	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
+)
+
+const token = "network-of-the-test"
+
+// ledger is a cloud that notes the calls it took.
+type ledger struct {
+	mu    sync.Mutex
+	calls []taken
+}
+
+type taken struct {
+	holder duty.Holder
+	usage  state.Usage
+	at     time.Time
+}
+
+func (l *ledger) Usage(_ context.Context, h duty.Holder, u state.Usage) (duty.Answer, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, taken{holder: h, usage: u, at: time.Now()})
+	return duty.Accepted, nil
+}
+
+func (l *ledger) Scale(context.Context, duty.Holder, duty.Order) (duty.Answer, error) {
+	return duty.Accepted, nil
+}
+
+// cluster is a deployment of core daemons on loopback.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	cloud    *ledger
+	settings []*setup.Node
+	cores    []*Core
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	g := &cluster{t: t, folder: t.TempDir(), cloud: &ledger{}, cores: make([]*Core, n)}
+	var seeds []string
+	for i := range n {
+		peer := free(t)
+		if len(seeds) < 3 {
+			seeds = append(seeds, peer)
+		}
+		g.settings = append(g.settings, &setup.Node{
+			Role: setup.Core, Name: fmt.Sprint("core-", i), Zone: "z", Region: "r", Control: free(t), Peers: peer,
+			DataFolder: filepath.Join(g.folder, fmt.Sprint(i)), Found: true, PeerToken: token, Losses: (n - 1) / 2,
+			Duties: setup.Duties{
+				Address: "cloud", Usage: true, Lease: 600, Thaw: 100, UsageWindow: clock.Second, UsageDue: 10 * clock.Second, CallsPerSecond: 50,
+			},
+			Quota: setup.Quota{Window: 8 * clock.Second},
+		})
+	}
+	for i := range n {
+		g.settings[i].Seeds = seeds
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for _, c := range g.cores {
+			if c != nil {
+				c.Kill()
+			}
+		}
+	})
+	return g
+}
+
+func decode(text []byte) (*rules.Set, error) {
+	set := &rules.Set{Text: text}
+	_, err := fmt.Sscanf(string(text), "rules %d", &set.Version)
+	return set, err
+}
+
+func (g *cluster) start(i int) {
+	g.t.Helper()
+	c, err := New(g.settings[i], Options{Log: logr.Discard(), Decode: decode, Cloud: g.cloud})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	if err := c.Serve(http.NotFoundHandler()); err != nil {
+		g.t.Fatal(err)
+	}
+	if err := c.Start(context.Background()); err != nil {
+		g.t.Fatal(err)
+	}
+	g.cores[i] = c
+}
+
+// crash ends a daemon; it comes back later, without its files when wipe is set.
+func (g *cluster) crash(i int, wipe bool) {
+	g.t.Helper()
+	g.cores[i].Kill()
+	g.cores[i] = nil
+	g.settings[i].Found = false
+	if wipe {
+		if err := os.RemoveAll(g.settings[i].DataFolder); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+}
+
+func (g *cluster) leader() int {
+	g.t.Helper()
+	for range 200 {
+		for i, c := range g.cores {
+			if c != nil && c.leads() {
+				return i
+			}
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	g.t.Fatal("got no leader in 5 s")
+	return -1
+}
+
+// put sends rules to one daemon after the other until one acknowledges.
+func (g *cluster) put(version uint64) {
+	g.t.Helper()
+	for range 50 {
+		for _, c := range g.cores {
+			if c == nil {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			err := c.PutRules(ctx, &rules.Set{Version: version, Text: fmt.Appendf(nil, "rules %d", version)})
+			cancel()
+			if err == nil {
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatalf("rules %d were not acknowledged", version)
+}
+
+// read returns the version that a daemon reads, once it can.
+func (g *cluster) read(i int) uint64 {
+	g.t.Helper()
+	for range 100 {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		r, err := g.cores[i].Rules(ctx)
+		cancel()
+		if err == nil {
+			return r.Version
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.t.Fatalf("core %d cannot read the rules", i)
+	return 0
+}
+
+func (g *cluster) voters(i int) int {
+	n := 0
+	for _, m := range g.cores[i].Store.Status().Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// healthy waits until the leader has want voters and no repair is going on.
+func (g *cluster) healthy(want int, within time.Duration) {
+	g.t.Helper()
+	deadline := time.Now().Add(within)
+	for time.Now().Before(deadline) {
+		i := g.leader()
+		if g.voters(i) == want && g.cores[i].Store.Status().Repair == quorum.Healthy {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	i := g.leader()
+	g.t.Fatalf("got %d voters, repair %v after %v, want %d healthy", g.voters(i), g.cores[i].Store.Status().Repair, within, want)
+}
+
+func TestRulesSurviveTheLossOfTheLeader(t *testing.T) {
+	g := newCluster(t, 3)
+	g.put(5)
+	for i := range g.cores {
+		if got := g.read(i); got != 5 {
+			t.Errorf("core %d: got version %d, want 5", i, got)
+		}
+	}
+	g.put(4)
+	i := g.leader()
+	if got := g.read(i); got != 5 {
+		t.Errorf("got version %d after older rules, want 5", got)
+	}
+	g.crash(i, false)
+	g.put(6)
+	g.start(i)
+	if got := g.read(i); got != 6 {
+		t.Errorf("got version %d at the daemon that came back, want 6", got)
+	}
+}
+
+// TestTwoWipedVotersAreMadeGood loses two of five disks at once, right after an acknowledgement,
+// and then, after the time to catch up, two others.
+func TestTwoWipedVotersAreMadeGood(t *testing.T) {
+	g := newCluster(t, 5)
+	g.put(1)
+	g.healthy(5, 10*time.Second)
+	for round, pair := range [][2]int{{0, 1}, {2, 3}, {4, 0}} {
+		version := uint64(10 + round)
+		g.put(version)
+		g.crash(pair[0], true)
+		g.crash(pair[1], true)
+		g.start(pair[0])
+		g.start(pair[1])
+		g.healthy(5, 4*time.Second)
+		for i := range g.cores {
+			if got := g.read(i); got != version {
+				t.Errorf("round %d, core %d: got version %d, want %d", round, i, got, version)
+			}
+		}
+	}
+}
+
+// TestAllCoresKilledAtOnce kills all daemons right after an acknowledgement.
+func TestAllCoresKilledAtOnce(t *testing.T) {
+	g := newCluster(t, 3)
+	for version := uint64(1); version <= 3; version++ {
+		g.put(version)
+		for i := range g.cores {
+			g.crash(i, false)
+		}
+		for i := range g.cores {
+			g.start(i)
+		}
+		if got := g.read(0); got != version {
+			t.Errorf("got version %d, want %d", got, version)
+		}
+	}
+}
+
+// entry reports the usage of an entry daemon to whoever leads.
+type entry struct {
+	g       *cluster
+	net     *peers.Net
+	counter usage.Counter
+	truth   map[uint64]uint64
+}
+
+func (e *entry) report() {
+	m := &peerpb.TallyRequest{Name: "entry", Boot: "boot"}
+	for _, w := range e.counter.Windows {
+		m.Windows = append(m.Windows, &peerpb.UsageWindow{Number: w.Number, Counts: w.Counts})
+	}
+	for _, c := range e.g.cores {
+		if c != nil {
+			_, _ = c.Tally(context.Background(), connect.NewRequest(m))
+		}
+	}
+}
+
+// TestUsageOverTheLossOfTheLeader checks the reports of windows during which the lead was lost.
+func TestUsageOverTheLossOfTheLeader(t *testing.T) {
+	g := newCluster(t, 3)
+	g.put(1)
+	g.leader()
+	e := &entry{g: g, counter: usage.Counter{Length: clock.Second}, truth: make(map[uint64]uint64)}
+	first := usage.Number(wallClock(), clock.Second) + 1
+	for step := range 110 {
+		now := wallClock()
+		e.counter.Began(now, "atelier")
+		e.truth[usage.Number(now, clock.Second)]++
+		e.report()
+		if step == 40 {
+			g.crash(g.leader(), false)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.cloud.mu.Lock()
+	defer g.cloud.mu.Unlock()
+	reported := make(map[uint64]uint64)
+	highest := uint64(0)
+	for _, c := range g.cloud.calls {
+		if c.holder.Fence < highest {
+			t.Errorf("got fence %d after %d", c.holder.Fence, highest)
+		}
+		highest = c.holder.Fence
+		n := c.usage.Number
+		if before, ok := reported[n]; ok && before != c.usage.Counts["atelier"] {
+			t.Errorf("window %d: got %d and then %d", n, before, c.usage.Counts["atelier"])
+		}
+		reported[n] = c.usage.Counts["atelier"]
+	}
+	checked := 0
+	for n := first; n < usage.Number(wallClock(), clock.Second)-4; n++ {
+		checked++
+		if got, want := reported[n], e.truth[n]; got != want {
+			t.Errorf("window %d: got %d reported, want %d", n, got, want)
+		}
+	}
+	if checked < 4 || highest < 2 {
+		t.Errorf("got %d windows checked and fence %d, want windows of two holders", checked, highest)
+	}
+}
+
+// TestLeavingServersReachFollowersAtOnce lets an entry daemon follow three core daemons.
+func TestLeavingServersReachFollowersAtOnce(t *testing.T) {
+	g := newCluster(t, 3)
+	g.put(1)
+	n := peers.New(peers.Options{Token: token})
+	heard := make(chan *peerpb.ServerRecord, 100)
+	f := &feed.Follower{
+		Name: "entry", Entry: true, Clock: clock.Start(), Log: logr.Discard(), Client: n.FeedClient,
+		Seeds: func() []string { return g.settings[0].Seeds },
+		OnEvent: func(_ string, e *peerpb.FeedEvent) {
+			for _, r := range e.GetServers() {
+				heard <- r
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.Run(ctx)
+	for {
+		if all, _ := f.Heard(); all == 3 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	record := enrol.Record{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Zone: "z", Version: "v1", Slots: 4, Born: 7, Sequence: 1}
+	steps := []struct {
+		name string
+		act  func() error
+		want enrol.State
+	}{
+		{"ready", func() error { return g.cores[0].Enrol(ctx, record) }, enrol.Ready},
+		{"leaving", func() error {
+			record.State, record.Sequence = enrol.Leaving, 2
+			return g.cores[1].Enrol(ctx, record)
+		}, enrol.Leaving},
+		{"gone", func() error { return g.cores[2].Leave(ctx, "i-1", 7) }, enrol.Gone},
+	}
+	for _, step := range steps {
+		began := time.Now()
+		if err := step.act(); err != nil {
+			t.Fatal(err)
+		}
+		for {
+			r := <-heard
+			if enrol.State(r.GetState()) == step.want {
+				break
+			}
+		}
+		if took := time.Since(began); took > 300*time.Millisecond {
+			t.Errorf("%s: got it after %v, want at once", step.name, took)
+		}
+	}
+}
+
+// TestForeignFollowersAreTurnedAway asks for the feed without the token of the network.
+func TestForeignFollowersAreTurnedAway(t *testing.T) {
+	g := newCluster(t, 1)
+	n := peers.New(peers.Options{Token: "another token, not the network's"})
+	_, err := n.FeedClient(g.settings[0].Peers).Tally(context.Background(), connect.NewRequest(&peerpb.TallyRequest{}))
+	if err == nil || !strings.Contains(err.Error(), "401") && connect.CodeOf(err) != connect.CodeUnauthenticated {
+		t.Errorf("got %v, want a refusal", err)
+	}
+}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -189,11 +189,19 @@
 }
 
 func (c *Core) reportWindow(ctx context.Context, number uint64) bool {
+	// By the time that a new holder may send, the entry daemons have repeated their counts to it.
+	if !c.maySend() {
+		return false
+	}
 	recorded, ok := c.recorded(number)
 	if !ok {
 		c.mu.Lock()
+		heard := len(c.desk.entries)
 		counts := c.desk.book.Sum(number)
 		c.mu.Unlock()
+		if heard == 0 {
+			return false
+		}
 		if _, err := c.propose(ctx, state.PutUsage{Number: number, Counts: counts}); err != nil {
 			c.log.Info("usage not recorded", "window", number, "error", err.Error())
 			return false
