--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -23,6 +23,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"swiftbeam/internal/disk"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
@@ -70,6 +71,8 @@
 	Cloud  Cloud
 	// Metrics takes the daemon's counters; nil means none are shown.
 	Metrics metrics.Registry
+	// OpenDisk replaces disk.Open.
+	OpenDisk func(folder string) (*disk.Log, disk.Loaded, error)
 }
 
 // Cloud takes the calls of the duties.
@@ -122,7 +125,7 @@
 			Voters: 2*s.Losses + 1, BatchBytes: batchBytes, Seed: seed(),
 		},
 		Self:   quorum.Member{Name: s.Name, Address: s.Peers, Zone: s.Zone, Region: s.Region},
-		Folder: s.DataFolder, Clock: c.clock, Network: c.Net, Log: c.log.WithName("store"), SnapshotEvery: snapshotEvery,
+		Folder: s.DataFolder, Clock: c.clock, Network: c.Net, Log: c.log.WithName("store"), SnapshotEvery: snapshotEvery, OpenDisk: o.OpenDisk,
 	}
 	if err := c.Store.Open(randomName()); err != nil {
 		return nil, err
@@ -294,7 +297,7 @@
 // shared returns what followers learn of the replicated state.
 func (c *Core) shared() feed.Shared {
 	status := c.Store.Status()
-	out := feed.Shared{Leader: status.LeaderAt}
+	out := feed.Shared{Leader: c.leaderAt()}
 	for _, m := range status.Members {
 		out.Cores = append(out.Cores, m.Address)
 	}
@@ -318,5 +321,15 @@
 	return status.Role == quorum.Leader && c.clock.Now().Sub(status.ContactAt) <= ElectionTimeout
 }
 
+// leaderAt returns the address of the leader, or an empty text where this daemon does not know it:
+// one whose disk hangs or failed goes on to believe what it did before.
+func (c *Core) leaderAt() string {
+	status := c.Store.Status()
+	if status.Failed != "" || c.clock.Now().Sub(status.ContactAt) > ElectionTimeout {
+		return ""
+	}
+	return status.LeaderAt
+}
+
 // hear takes an event of another core daemon.
 func (c *Core) hear(_ string, e *peerpb.FeedEvent) { c.hearServers(e.GetServers()) }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,12 +9,14 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 
+	"swiftbeam/internal/disk"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
@@ -60,6 +62,7 @@
 	cloud    *ledger
 	settings []*setup.Node
 	cores    []*Core
+	hung     []atomic.Pointer[chan struct{}]
 }
 
 func free(t *testing.T) string {
@@ -74,7 +77,7 @@
 
 func newCluster(t *testing.T, n int) *cluster {
 	t.Helper()
-	g := &cluster{t: t, folder: t.TempDir(), cloud: &ledger{}, cores: make([]*Core, n)}
+	g := &cluster{t: t, folder: t.TempDir(), cloud: &ledger{}, cores: make([]*Core, n), hung: make([]atomic.Pointer[chan struct{}], n)}
 	var seeds []string
 	for i := range n {
 		peer := free(t)
@@ -112,7 +115,19 @@
 
 func (g *cluster) start(i int) {
 	g.t.Helper()
-	c, err := New(g.settings[i], Options{Log: logr.Discard(), Decode: decode, Cloud: g.cloud})
+	hung := &g.hung[i]
+	c, err := New(g.settings[i], Options{Log: logr.Discard(), Decode: decode, Cloud: g.cloud, OpenDisk: func(folder string) (*disk.Log, disk.Loaded, error) {
+		log, loaded, err := disk.Open(folder)
+		if err == nil {
+			log.SyncFile = func(f *os.File) error {
+				if held := hung.Load(); held != nil {
+					<-*held
+				}
+				return f.Sync()
+			}
+		}
+		return log, loaded, err
+	}})
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -125,6 +140,19 @@
 	g.cores[i] = c
 }
 
+// hang holds up the disk of a daemon until release is called.
+func (g *cluster) hang(i int) (release func()) {
+	held := make(chan struct{})
+	g.hung[i].Store(&held)
+	var once sync.Once
+	return func() {
+		once.Do(func() {
+			g.hung[i].Store(nil)
+			close(held)
+		})
+	}
+}
+
 // crash ends a daemon; it comes back later, without its files when wipe is set.
 func (g *cluster) crash(i int, wipe bool) {
 	g.t.Helper()
@@ -393,6 +421,29 @@
 	}
 }
 
+// TestHangingLeaderNamesNobody holds up the disk of the leader: it must not go on to send the entry
+// daemons to itself. (Bench: deploy/days/disks.toml.)
+func TestHangingLeaderNamesNobody(t *testing.T) {
+	g := newCluster(t, 3)
+	g.put(1)
+	i := g.leader()
+	release := g.hang(i)
+	defer release()
+	for range 100 {
+		for j, c := range g.cores {
+			if j != i && c.leads() && c.leaderAt() == g.settings[j].Peers {
+				time.Sleep(ElectionTimeout.Std())
+				if got := g.cores[i].leaderAt(); got == g.settings[i].Peers {
+					t.Errorf("got %q as the leader at the daemon that hangs, want another or none", got)
+				}
+				return
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Error("got no other leader in 5 s")
+}
+
 // TestForeignFollowersAreTurnedAway asks for the feed without the token of the network.
 func TestForeignFollowersAreTurnedAway(t *testing.T) {
 	g := newCluster(t, 1)
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -52,7 +52,7 @@
 // Tally takes the report of an entry daemon.
 func (c *Core) Tally(_ context.Context, r *connect.Request[peerpb.TallyRequest]) (*connect.Response[peerpb.TallyResponse], error) {
 	if !c.leads() {
-		return connect.NewResponse(&peerpb.TallyResponse{Leader: c.Store.Status().LeaderAt}), nil
+		return connect.NewResponse(&peerpb.TallyResponse{Leader: c.leaderAt()}), nil
 	}
 	now := c.clock.Now()
 	c.mu.Lock()
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -27,8 +27,10 @@
 type tally struct {
 	sending sync.Mutex
 	leader  string
-	wake    chan struct{}
-	mu      sync.Mutex
+	// confirmed is the last leader that took a report.
+	confirmed string
+	wake      chan struct{}
+	mu        sync.Mutex
 	// done is closed when the next report has been answered.
 	done chan struct{}
 }
@@ -119,10 +121,10 @@
 		e.tally.leader = response.Msg.GetLeader()
 		e.restore(request)
 	default:
-		if e.tally.leader != leader {
+		if e.tally.confirmed != leader {
 			e.log.Info("reports go to a leader", "address", leader)
 		}
-		e.tally.leader = leader
+		e.tally.leader, e.tally.confirmed = leader, leader
 		e.takeTally(response.Msg)
 		if len(response.Msg.GetGrants()) > 0 {
 			return true
