--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -60,6 +60,9 @@
 	keepSurplus = 3 * clock.Second
 	// keepPeak is how long a need is taken to come again.
 	keepPeak = 8 * clock.Second
+	// lossPart is the part of a zone's spot replicas whose loss must leave the need covered: the
+	// need holds two fifths in reserve.
+	lossPart = 0.4
 	// spotMargin is the part by which spot replicas exceed the need, as they cost little.
 	spotMargin = 1.25
 )
@@ -108,14 +111,15 @@
 	}
 }
 
-// safe returns the spot replicas that remain without the zone that has most.
+// safe returns the spot replicas to count on: without a part of the zone that has most, as those
+// that remain carry more than their share until ordered ones have booted.
 func safe(spots []int) int {
 	total, most := 0, 0
 	for _, n := range spots {
 		total += n
 		most = max(most, n)
 	}
-	return total - most
+	return total - int(math.Ceil(lossPart*float64(most)))
 }
 
 // wantOnDemand fills what spot replicas leave open, and gives it back once they suffice.
