--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -136,7 +136,7 @@
 	maxPrefixes = 8192
 	// homeBelief is the part of a shared prompt that its home server is taken to hold where this
 	// daemon has not sent it there.
-	homeBelief = 0.7
+	homeBelief = 0.8
 	// averageWeight is the weight of a new observation in moving averages.
 	averageWeight = 0.15
 	// outFor is how long a server that fails is left out; it doubles with each time in a row.
@@ -196,7 +196,7 @@
 // Choose returns the server with the least time to expect, or no server.
 func (s *Service) Choose(q *Query) Choice {
 	cached := s.cached(q)
-	home := s.home(q)
+	home, second := s.homes(q)
 	best := Choice{Wait: math.Inf(1)}
 	lowest := math.Inf(1)
 	out := s.leftOut(q.Now)
@@ -208,8 +208,8 @@
 			continue
 		}
 		held := cached[server]
-		if held == 0 && server == home {
-			held = int(homeBelief * float64(shared(q.Parts)))
+		if server == home || server == second {
+			held = max(held, int(homeBelief*float64(shared(q.Parts))))
 		}
 		wait, full := s.wait(server, q.Tokens-held)
 		score := wait
@@ -275,15 +275,15 @@
 	return held
 }
 
-// home returns the server on which all daemons gather the requests that share a prompt: the one
-// with the highest hash over the prompt's last shared part and the server.
-func (s *Service) home(q *Query) *Server {
+// homes returns the two servers on which all daemons gather the requests that share a prompt: those
+// with the highest hashes over the prompt's last shared part and the server. The second takes over
+// where the first is loaded, so that a popular prompt is read twice instead of everywhere.
+func (s *Service) homes(q *Query) (first, second *Server) {
 	if len(q.Parts) < 2 {
-		return nil
+		return nil, nil
 	}
 	seed := shareSeed(q.Parts[len(q.Parts)-2].ID)
-	var best *Server
-	highest := uint64(0)
+	var highest, next uint64
 	for _, server := range s.Servers {
 		if server.out(q.Now) {
 			continue
@@ -292,11 +292,14 @@
 		mix ^= mix >> 31
 		mix *= 0xbf58476d1ce4e5b9
 		mix ^= mix >> 29
-		if best == nil || mix > highest {
-			best, highest = server, mix
+		switch {
+		case first == nil || mix > highest:
+			first, second, highest, next = server, first, mix, highest
+		case second == nil || mix > next:
+			second, next = server, mix
 		}
 	}
-	return best
+	return first, second
 }
 
 func (s *Server) out(now clock.Instant) bool {
