--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -137,6 +137,8 @@
 	// homeBelief is the part of a shared prompt that its home server is taken to hold where this
 	// daemon has not sent it there.
 	homeBelief = 0.8
+	// readCost is what it costs others that a shared part is read again, against the time it takes.
+	readCost = 1.0
 	// averageWeight is the weight of a new observation in moving averages.
 	averageWeight = 0.15
 	// outFor is how long a server that fails is left out; it doubles with each time in a row.
@@ -196,6 +198,7 @@
 // Choose returns the server with the least time to expect, or no server.
 func (s *Service) Choose(q *Query) Choice {
 	cached := s.cached(q)
+	common := shared(q.Parts)
 	home, second := s.homes(q)
 	best := Choice{Wait: math.Inf(1)}
 	lowest := math.Inf(1)
@@ -209,10 +212,14 @@
 		}
 		held := cached[server]
 		if server == home || server == second {
-			held = max(held, int(homeBelief*float64(shared(q.Parts))))
+			held = max(held, int(homeBelief*float64(common)))
 		}
 		wait, full := s.wait(server, q.Tokens-held)
 		score := wait
+		if s.Engine {
+			// A part that is read again also yields another from the memory.
+			score += readCost * float64(max(common-held, 0)) / s.Costs.PrefillPerMs
+		}
 		if server.Zone != q.Zone {
 			score += s.Costs.OtherZone
 		}
