--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -32,6 +32,7 @@
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/setup"
+	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -235,11 +236,24 @@
 	if d := event.GetRules(); d != nil {
 		e.takeRules(address, d)
 	}
+	for _, m := range event.GetRollouts() {
+		e.takeRollout(wire.RolloutFromPB(m))
+	}
 	if len(event.GetServers()) > 0 {
 		e.takeServers(event.GetServers())
 	}
 }
 
+// takeRollout keeps requests from a version until its rollout is finished.
+func (e *Edge) takeRollout(r *state.Rollout) {
+	barred := r.Target
+	if r.Stage == state.Finished {
+		barred = ""
+	}
+	e.log.Info("rollout", "service", r.Service, "target", r.Target, "stage", r.Stage.String(), "revision", r.Revision)
+	e.Front.Update(r.Service, func(g *front.Group) { g.Barred = barred })
+}
+
 func (e *Edge) takeRules(address string, d *peerpb.Document) {
 	if old := e.Front.Rules(); old != nil && old.Version >= d.GetVersion() {
 		return
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -85,6 +85,8 @@
 	Servers []*Server
 	Costs   Costs
 	Engine  bool
+	// Barred is a version that gets no requests; empty bars none.
+	Barred string
 
 	warm map[uint64][]holder
 }
@@ -104,8 +106,6 @@
 	Parts  []Part
 	// Avoid are the IDs of servers that were tried.
 	Avoid []string
-	// Version limits the choice to servers of one version; empty means any.
-	Version string
 	Draw    uint64
 }
 
@@ -204,7 +204,7 @@
 	lowest := math.Inf(1)
 	out := s.leftOut(q.Now)
 	for i, server := range s.Servers {
-		if q.Version != "" && server.Version != q.Version || slices.Contains(q.Avoid, server.ID) {
+		if s.Barred != "" && server.Version == s.Barred || slices.Contains(q.Avoid, server.ID) {
 			continue
 		}
 		if out && server.out(q.Now) {
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// TestBarredVersionGetsNothing keeps all requests from a version in a rollout.
+func TestBarredVersionGetsNothing(t *testing.T) {
+	s := service(4)
+	s.Servers[0].Version, s.Servers[1].Version = "v2", "v2"
+	s.Barred = "v2"
+	for i := range 100 {
+		q := &Query{Now: 1000, Zone: "z", Tokens: 1000, Draw: uint64(i)}
+		c := s.Choose(q)
+		if c.Server.Version == "v2" {
+			t.Fatalf("got %s of the barred version", c.Server.ID)
+		}
+		s.Start(1000, c, q)
+	}
+}
+
 // TestLoadOfOthersCounts avoids the server that other daemons keep busy.
 func TestLoadOfOthersCounts(t *testing.T) {
 	s := service(2)
