--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -106,7 +106,7 @@
 	Parts  []Part
 	// Avoid are the IDs of servers that were tried.
 	Avoid []string
-	Draw    uint64
+	Draw  uint64
 }
 
 // Choice is a server with the time to its first answer to expect, in milliseconds.
