--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -48,6 +48,8 @@
 	// surplusReports is the demand, in reports, that a daemon keeps without using it.
 	surplusReports = 4
 	usualWeight    = 0.3
+	// scarcePart is the part of a limit below which only requests that wait are granted.
+	scarcePart = 0.35
 	// lostAfter is the silence after which the leader takes a daemon to live on its lease; a
 	// daemon begins to do so only after leaseAfter.
 	lostAfter  = 450 * clock.Millisecond
@@ -115,6 +117,9 @@
 	Quantity Amounts
 	// Lease is what the daemon may spend in a window without a leader.
 	Lease float64
+	// Scarce asks to give back at the next report what is not spent by then: many daemons that
+	// each hold less than a request needs would keep much of a limit unused.
+	Scarce bool
 }
 
 // standing is what the leader knows of one account at one daemon.
@@ -172,6 +177,10 @@
 		if listening {
 			continue
 		}
+		g.Scarce = left < scarcePart*limit
+		if g.Scarce {
+			every = 0
+		}
 		g.Quantity = share(u, left, limit, every)
 		mine.held += g.Quantity.Sum()
 		mine.lease = b.lease(entries, mine, left-g.Quantity.Sum(), spent, limit)
@@ -264,7 +273,8 @@
 	Lease  float64
 	Spent  slide.Window
 	// usual is the moving average of what callers ask for between reports.
-	usual Amounts
+	usual  Amounts
+	scarce bool
 }
 
 // Receive adds the grants of the leader. A leader that does not grant yet does not count.
@@ -277,7 +287,7 @@
 		for level := range a.Held {
 			a.Held[level] += g.Quantity[level]
 		}
-		a.Lease = g.Lease
+		a.Lease, a.scarce = g.Lease, g.Scarce
 	}
 }
 
@@ -370,6 +380,9 @@
 func (a *Allowance) giveBack() {
 	for level := range a.Held {
 		a.usual[level] += usualWeight * (a.Wanted[level] - a.usual[level])
+		if a.scarce {
+			a.Held[level] = 0
+		}
 		if keep := surplusReports * a.usual[level]; a.Held[level] > keep && a.Wanted[level] == 0 {
 			a.Held[level] = max(keep, a.Held[level]/2)
 		}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -217,3 +217,45 @@
 		t.Errorf("got %.2f and %.2f served, want the less urgent level not before", part(1), part(2))
 	}
 }
+
+// TestManyDaemonsUseTheLimit spreads four times the quota over 78 daemons, each of which is asked
+// now and then for requests of uneven sizes. (Bench: minik grown, trouble-1.)
+func TestManyDaemonsUseTheLimit(t *testing.T) {
+	const entries = 78
+	d := newDeployment(entries)
+	d.play(0)
+	a := &d.set.Accounts[0]
+	for step := range 500 {
+		d.now += 50
+		spent := 0.0
+		for i, p := range d.purses {
+			if (step+i)%5 == 0 {
+				p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 250))
+			}
+			if (step*7+i*13)%32 != 0 {
+				continue
+			}
+			size := float64(2_000 + (step*31+i*17)%20_000)
+			p.Want(a, 1, size)
+			ok := p.Spend(d.now, a, 1, size)
+			if !ok {
+				p.Receive(d.now, d.bank.Grant(d.now, d.set, fmt.Sprint(i, "/b"), p.Uses(d.now), 20))
+				ok = p.Spend(d.now, a, 1, size)
+			}
+			if ok {
+				spent += size
+			}
+		}
+		d.spent = append(d.spent, spent)
+	}
+	sum := 0.0
+	for _, s := range d.spent[len(d.spent)-160:] {
+		sum += s
+	}
+	if want := 0.8 * Limit(d.bank.Bounds, a); sum < want {
+		t.Errorf("got %.0f tokens in 8 s, want at least %.0f", sum, want)
+	}
+	if sum > allowed {
+		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", sum, float64(allowed))
+	}
+}
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -44,12 +44,12 @@
 
 // GrantToPB maps a grant to its message.
 func GrantToPB(g *quota.Grant) *peerpb.Grant {
-	return &peerpb.Grant{Account: g.Account, Quantity: g.Quantity[:], Lease: g.Lease}
+	return &peerpb.Grant{Account: g.Account, Quantity: g.Quantity[:], Lease: g.Lease, Scarce: g.Scarce}
 }
 
 // GrantFromPB maps a message to a grant.
 func GrantFromPB(m *peerpb.Grant) quota.Grant {
-	return quota.Grant{Account: m.GetAccount(), Quantity: amounts(m.GetQuantity()), Lease: m.GetLease()}
+	return quota.Grant{Account: m.GetAccount(), Quantity: amounts(m.GetQuantity()), Lease: m.GetLease(), Scarce: m.GetScarce()}
 }
 
 func amounts(list []float64) quota.Amounts {
