--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -77,7 +77,7 @@
 const Levels = 3
 
 // reserves are the parts of the limit that a level leaves to those before it.
-var reserves = [Levels]float64{0, 0.04, 0.1}
+var reserves = [Levels]float64{0, 0.06, 0.12}
 
 // Amounts are quantities by level.
 type Amounts [Levels]float64
