--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -61,8 +61,8 @@
 	// keepPeak is how long a need is taken to come again.
 	keepPeak = 8 * clock.Second
 	// lossPart is the part of a zone's spot replicas whose loss must leave the need covered: the
-	// need holds two fifths of each replica in reserve.
-	lossPart = 0.7
+	// need holds two fifths in reserve.
+	lossPart = 0.4
 	// spotMargin is the part by which spot replicas exceed the need, as they cost little.
 	spotMargin = 1.25
 )
