Mend two races; pace calls to the cloud; bound the memory; drop what nothing reads

Found by -race: the follower's maps were made without its lock, and a leader's first report wrote fields of the duties that another goroutine reads. Two tests were at fault themselves: one changed a setting of a running store, one waited for a disk to hang that nobody wrote to.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -32,6 +32,8 @@
 	reloadEvery = 2 * time.Second
 	// collectPercent trades processor time for memory; daemons keep little and allocate much.
 	collectPercent = 60
+	// memoryPercent is the part of the VM's memory at which collections become more frequent.
+	memoryPercent = 80
 )
 
 // node is a process of a split deployment.
@@ -74,6 +76,7 @@
 // runNode serves until the first SIGTERM, then stops as planned. A second one ends the process.
 func runNode(ctx context.Context, s *setup.Node, path string) error {
 	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(s.MemoryBytes * memoryPercent / 100)
 	lines := trail.New(os.Stdout)
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan struct{})
--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -6,6 +6,7 @@
 
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/scale"
 	"swiftbeam/internal/slide"
@@ -184,6 +185,11 @@
 	return zones
 }
 
+// pace keeps the calls to the cloud within their rate.
+func (c *Core) pace(ctx context.Context) {
+	kernel.Pause(ctx, clock.Duration(1000/max(c.Settings.Duties.CallsPerSecond, 1)))
+}
+
 // order sends one order where it differs from the last, or where its effect does not show.
 func (c *Core) order(ctx context.Context, m *market, o duty.Order, have, need int) {
 	now := c.clock.Now()
@@ -198,6 +204,7 @@
 	if o.Spot && o.Replicas > have && m.soldOut[o.Zone].After(now) {
 		return
 	}
+	c.pace(ctx)
 	if !c.maySend() {
 		return
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -429,6 +429,10 @@
 	i := g.leader()
 	release := g.hang(i)
 	defer release()
+	// A disk shows that it hangs at the next write.
+	go func() {
+		_ = g.cores[i].PutRules(context.Background(), &rules.Set{Version: 2, Text: []byte("rules 2")})
+	}()
 	for range 100 {
 		for j, c := range g.cores {
 			if j != i && c.leads() && c.leaderAt() == g.settings[j].Peers {
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -59,9 +59,14 @@
 	defer c.mu.Unlock()
 	d := &c.desk
 	if !d.leading {
-		// What an earlier leader granted is not known here.
-		*d = desk{leading: true, entries: make(map[string]*report), bank: quota.Bank{Since: now, Unknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window}, book: d.book, tenure: d.tenure, reported: d.reported}
-		d.bank.Bounds = quota.Bounds(c.Settings.Quota)
+		// What an earlier leader granted and ordered is not known here.
+		d.leading = true
+		d.entries = make(map[string]*report)
+		d.markets, d.demands = nil, nil
+		d.bank = quota.Bank{
+			Bounds: quota.Bounds(c.Settings.Quota), Since: now,
+			Unknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
+		}
 	}
 	name := r.Msg.GetName()
 	every := entryAge
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -148,7 +148,7 @@
 				}
 			}
 			m.Demands = append(m.Demands, &peerpb.ServiceDemand{
-				Service: name, Arrived: g.Arrived, Refused: g.Refused, Prefill: g.Prompt, Output: g.Output, Late: g.Late,
+				Service: name, Prefill: g.Prompt, Output: g.Output,
 			})
 		}
 		for _, u := range purse.Uses(e.clock.Now()) {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -76,22 +76,18 @@
 
 // Run follows the core daemons until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.mu.Lock()
 	f.streams = make(map[string]*stream)
 	f.clocks = make(map[string]reading)
+	f.mu.Unlock()
 	for ctx.Err() == nil {
 		f.adjust(ctx)
 		kernel.Pause(ctx, reconnectPause)
 	}
 }
 
-// Addresses returns the core daemons that are known: those of the settings and those that the
+// addressesLocked returns the core daemons that are known: those of the settings and those that the
 // others name.
-func (f *Follower) Addresses() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.addressesLocked()
-}
-
 func (f *Follower) addressesLocked() []string {
 	all := slices.Clone(f.cores)
 	for _, a := range f.Seeds() {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -38,7 +38,6 @@
 	f := x.front
 	f.mu.Lock()
 	g := f.group(x.service)
-	g.Arrived++
 	g.Budget.Arrived(f.Clock.Now())
 	f.mu.Unlock()
 	x.events = x.ask.After
@@ -288,7 +287,7 @@
 	a.whole = true
 	x.saved = &answer{status: r.StatusCode, header: r.Header, body: body}
 	f.mu.Lock()
-	f.group(x.service).First(f.Clock.Now(), a.flight)
+	f.group(x.service).First(a.flight)
 	f.mu.Unlock()
 	x.answered()
 	if r.StatusCode >= http.StatusInternalServerError {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -131,11 +131,9 @@
 	Connections int
 	// EventTokens is the usual number of tokens in one event.
 	EventTokens int
-	Arrived     uint64
-	Refused     uint64
-	Prompt      uint64
-	Output      uint64
-	Late        uint64
+	// Prompt counts the prompt tokens that servers had to read, Output the tokens they generated.
+	Prompt uint64
+	Output uint64
 }
 
 // Retry-After hints.
@@ -455,9 +453,6 @@
 func (x *exchange) refuse(why string, after clock.Duration) {
 	f := x.front
 	f.Counts.Refused.Add(1)
-	if x.service != "" {
-		f.Update(x.service, func(g *Group) { g.Refused++ })
-	}
 	f.Dialect.RetryAfter(x.w.Header(), min(after, maxRetryAfter))
 	x.reply(http.StatusServiceUnavailable, "refused", why)
 }
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -72,7 +72,7 @@
 		}
 		if x.eventsN == 0 || !x.begun {
 			f.mu.Lock()
-			f.group(x.service).First(f.Clock.Now(), a.flight)
+			f.group(x.service).First(a.flight)
 			f.mu.Unlock()
 			x.answered()
 			x.begin(r)
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -4,7 +4,7 @@
 //
 //	choice := service.Choose(&place.Query{Now: now, Tokens: 12000, Parts: parts})
 //	flight := service.Start(now, choice, &query)
-//	service.First(now, flight)          // the first event or answer came
+//	service.First(flight)               // the first event or answer came
 //	service.Finish(now, flight, failed)
 //
 // The estimate adds the prompts that wait to be read, the part of the prompt that the server has
@@ -45,8 +45,6 @@
 	Spot    bool
 	Own     Load
 	Others  Load
-	// Took is the moving average of the time to the first answer.
-	Took float64
 	// Faults is the moving average of failed requests, from 0 to 1.
 	Faults float64
 	// OutUntil keeps a server that failed out of choices; Probing is set while a single request
@@ -376,14 +374,12 @@
 }
 
 // First records the first answer to a request.
-func (s *Service) First(now clock.Instant, f *Flight) {
+func (s *Service) First(f *Flight) {
 	if f.answered {
 		return
 	}
 	f.answered = true
 	f.Server.Own.Prefill -= f.prefill
-	took := float64(now.Sub(f.started))
-	f.Server.Took += averageWeight * (took - f.Server.Took)
 }
 
 // Finish records the end of a request. A failure is evidence against the server.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -67,7 +67,7 @@
 		var rest []running
 		for _, r := range inFlight {
 			if r.first <= now {
-				s.First(clock.Instant(now), r.flight)
+				s.First(r.flight)
 			}
 			if r.end <= now {
 				s.Finish(clock.Instant(now), r.flight, false)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -27,12 +27,12 @@
 }
 
 // start runs a group of one on a disk that fails while full is set.
-func start(t *testing.T, folder string, full *atomic.Bool) (*Store, func()) {
+func start(t *testing.T, folder string, every uint64, full *atomic.Bool) (*Store, func()) {
 	t.Helper()
 	s := &Store{
 		Settings: quorum.Settings{ElectionTimeout: 60, Heartbeat: 20, Voters: 1, BatchBytes: 1 << 20, Seed: 1},
 		Self:     quorum.Member{Name: "a", Address: "a:1"},
-		Folder:   folder, Clock: clock.Start(), Network: nobody{}, Log: logr.Discard(), SnapshotEvery: 8,
+		Folder:   folder, Clock: clock.Start(), Network: nobody{}, Log: logr.Discard(), SnapshotEvery: every,
 	}
 	s.OpenDisk = func(folder string) (*disk.Log, disk.Loaded, error) {
 		if full.Load() {
@@ -81,7 +81,7 @@
 func TestFullDiskAcknowledgesNothingAndRecovers(t *testing.T) {
 	var full atomic.Bool
 	folder := t.TempDir()
-	s, stop := start(t, folder, &full)
+	s, stop := start(t, folder, 8, &full)
 	if err := put(s, 1, 5*time.Second); err != nil {
 		t.Fatal(err)
 	}
@@ -99,7 +99,7 @@
 		t.Fatalf("got %v after the disk was freed, want it to work again", err)
 	}
 	stop()
-	s, stop = start(t, folder, &full)
+	s, stop = start(t, folder, 8, &full)
 	defer stop()
 	if err := put(s, 2, 5*time.Second); err != nil {
 		t.Fatal(err)
@@ -114,9 +114,8 @@
 // TestLargeCommandsShortenTheLog keeps the log in memory short by its size.
 func TestLargeCommandsShortenTheLog(t *testing.T) {
 	var full atomic.Bool
-	s, stop := start(t, t.TempDir(), &full)
+	s, stop := start(t, t.TempDir(), 1<<20, &full)
 	defer stop()
-	s.SnapshotEvery = 1 << 20
 	text := make([]byte, 100<<10)
 	for version := uint64(1); version <= 20; version++ {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
