--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -216,29 +216,39 @@
 	return 0
 }
 
-func (g *cluster) voters(i int) int {
-	n := 0
+// voters returns the number of voters that daemon i knows, and whether they are the daemons that
+// run: a voter whose disk was lost counts until the group has replaced it.
+func (g *cluster) voters(i int) (n int, present bool) {
+	running := make(map[quorum.ID]bool)
+	for _, c := range g.cores {
+		if c != nil {
+			running[c.Store.Self.ID] = true
+		}
+	}
+	present = true
 	for _, m := range g.cores[i].Store.Status().Members {
 		if m.Voter {
 			n++
+			present = present && running[m.ID]
 		}
 	}
-	return n
+	return n, present
 }
 
-// healthy waits until the leader has want voters and no repair is going on.
+// healthy waits until the leader has want voters, all of them running, and no repair is going on.
 func (g *cluster) healthy(want int, within time.Duration) {
 	g.t.Helper()
 	deadline := time.Now().Add(within)
 	for time.Now().Before(deadline) {
 		i := g.leader()
-		if g.voters(i) == want && g.cores[i].Store.Status().Repair == quorum.Healthy {
+		if n, present := g.voters(i); n == want && present && g.cores[i].Store.Status().Repair == quorum.Healthy {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	i := g.leader()
-	g.t.Fatalf("got %d voters, repair %v after %v, want %d healthy", g.voters(i), g.cores[i].Store.Status().Repair, within, want)
+	n, present := g.voters(i)
+	g.t.Fatalf("got %d voters, all running %v, repair %v after %v, want %d healthy", n, present, g.cores[i].Store.Status().Repair, within, want)
 }
 
 func TestRulesSurviveTheLossOfTheLeader(t *testing.T) {
