--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -26,12 +26,9 @@
 	whole bool
 }
 
-// Rules of admission, in milliseconds and as parts of a span.
-const (
-	// hopelessPart is the part of the time left that the first answer may be expected to take;
-	// a request that needs more is refused at once.
-	hopelessPart = 0.9
-)
+// hopelessPart is the part of the time left that the first answer may be expected to take; a request
+// that needs more is refused at once.
+const hopelessPart = 0.9
 
 // forward sends the request to backend servers until one answers or none may be tried.
 func (x *exchange) forward(ctx context.Context) {
@@ -132,7 +129,7 @@
 // maxTries bounds the servers that are tried one after the other where none can be reached.
 const maxTries = 4
 
-// choose picks a server and records the request there.
+// choose picks a server.
 func (x *exchange) choose() place.Choice {
 	f := x.front
 	f.mu.Lock()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,7 +1,8 @@
 // Package front takes the requests of callers at an entry daemon and forwards them to backend
 // servers:
 //
-//	f := &front.Front{Clock: c, Dialect: dialect, Pool: pool, State: state}
+//	f := &front.Front{Clock: c, Dialect: dialect, Pool: pool, TrueTime: c.Now}
+//	f.SetRules(set)
 //	server := &http.Server{Handler: f}
 //
 // A request is matched to its route, its key to a client account, and its size to the account's
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -5,7 +5,7 @@
 //
 //	grants := bank.Grant(now, set, "entry-1/boot", uses, since)  // at the leader, for each report
 //	purse.Receive(now, grants)                                   // at the entry daemon
-//	ok := purse.Spend(now, account, tokens)
+//	ok := purse.Spend(now, account, level, tokens)
 //
 // Each grant names a lease: what the daemon may spend in a window should it lose the leader. The
 // leases of all daemons add up to the limit, so the quota also holds while there is no leader, and
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,7 +2,7 @@
 // daemons count and report; the holder of the duty adds up what all of them reported:
 //
 //	counter.Began(trueTime, "workshop")
-//	book.Hear("entry-1", "boot-7", counter.Windows())
+//	book.Hear("entry-1/boot-7", counter.Windows)
 //	counts := book.Sum(number)
 //
 // Reports repeat all recent windows whole, so that a lost report or a new holder loses nothing.
