One source of random names, of the agreed time, and of two messages

Found on reading the whole change: core, edge and daemon each drew their own random names and seeds (now kernel.RandomName, kernel.RandomSeed); core and edge both worked out the agreed time (now Follower.TrueTime); both kinds of settings printed their mistakes with the same lines; a body over the limit was refused in two places; place.Finish repeated First and returned a field that nothing read. Behaviour stays as it is: no bound, test or assertion was touched.

--- a/cmd/swiftbeam/daemon.go
+++ b/cmd/swiftbeam/daemon.go
@@ -15,6 +15,7 @@
 
 	"swiftbeam/internal/daemon"
 	"swiftbeam/internal/setup"
+	"swiftbeam/pkg/conf"
 )
 
 // invalidInput is an error of what the user wrote.
@@ -62,13 +63,7 @@
 	if err != nil {
 		return nil, invalidInput{errors.Wrap(err, "read settings")}
 	}
-	for _, p := range problems {
-		fmt.Fprintf(os.Stderr, "%s:%s\n", path, p)
-	}
-	if len(problems) > 0 {
-		return nil, invalidInput{errors.Newf("%s has %d mistakes", path, len(problems))}
-	}
-	return s, nil
+	return s, mistakes(path, problems)
 }
 
 // runDaemon serves until the first SIGTERM or interrupt, then stops as planned. A second signal
@@ -93,6 +88,17 @@
 	return d.Stop(stop)
 }
 
+// mistakes prints the mistakes in a settings file and returns an error when there are any.
+func mistakes(path string, problems []conf.Problem) error {
+	for _, p := range problems {
+		fmt.Fprintf(os.Stderr, "%s:%s\n", path, p)
+	}
+	if len(problems) > 0 {
+		return invalidInput{errors.Newf("%s has %d mistakes", path, len(problems))}
+	}
+	return nil
+}
+
 // checkSettings checks a file by the kind of process that it is for.
 func checkSettings(path string) error {
 	text, err := os.ReadFile(path)
--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -64,13 +63,7 @@
 	if err != nil {
 		return nil, invalidInput{errors.Wrap(err, "read settings")}
 	}
-	for _, p := range problems {
-		fmt.Fprintf(os.Stderr, "%s:%s\n", path, p)
-	}
-	if len(problems) > 0 {
-		return nil, invalidInput{errors.Newf("%s has %d mistakes", path, len(problems))}
-	}
-	return s, nil
+	return s, mistakes(path, problems)
 }
 
 // runNode serves until the first SIGTERM, then stops as planned. A second one ends the process.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,9 +9,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"slices"
@@ -115,19 +112,19 @@
 	if o.Clock == nil {
 		o.Clock = clock.Start()
 	}
-	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: randomName(), direct: make(map[string]bool)}
+	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: kernel.RandomName(), direct: make(map[string]bool)}
 	c.started = c.clock.Now()
 	c.SetSeeds(s.Seeds)
 	c.Net = peers.New(peers.Options{Token: s.PeerToken})
 	c.Store = &store.Store{
 		Settings: quorum.Settings{
 			ElectionTimeout: ElectionTimeout, Heartbeat: Heartbeat, ReplaceAfter: ReplaceAfter, ForgetAfter: ForgetAfter,
-			Voters: 2*s.Losses + 1, BatchBytes: batchBytes, Seed: seed(),
+			Voters: 2*s.Losses + 1, BatchBytes: batchBytes, Seed: kernel.RandomSeed(),
 		},
 		Self:   quorum.Member{Name: s.Name, Address: s.Peers, Zone: s.Zone, Region: s.Region},
 		Folder: s.DataFolder, Clock: c.clock, Network: c.Net, Log: c.log.WithName("store"), SnapshotEvery: snapshotEvery, OpenDisk: o.OpenDisk,
 	}
-	if err := c.Store.Open(randomName()); err != nil {
+	if err := c.Store.Open(kernel.RandomName()); err != nil {
 		return nil, err
 	}
 	c.Net.Identify(c.Store.Self)
@@ -170,18 +167,6 @@
 
 func wallClock() clock.Instant { return clock.FromTime(time.Now()) }
 
-func randomName() string {
-	var b [6]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
-func seed() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return binary.LittleEndian.Uint64(b[:])
-}
-
 // SetSeeds replaces the addresses that the settings name.
 func (c *Core) SetSeeds(seeds []string) { c.seeds.Store(&seeds) }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -69,7 +69,7 @@
 
 // StartRollout commits the order to move a service to another version.
 func (c *Core) StartRollout(ctx context.Context, service, target string, within clock.Duration) error {
-	_, err := c.propose(ctx, state.StartRollout{Service: service, Target: target, FinishBy: c.trueTime().Add(within)})
+	_, err := c.propose(ctx, state.StartRollout{Service: service, Target: target, FinishBy: c.Follower.TrueTime().Add(within)})
 	c.log.Info("rollout ordered", "service", service, "target", target, "withinMs", int64(within), "error", errorText(err))
 	return err
 }
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -123,12 +123,6 @@
 	return out
 }
 
-// trueTime returns the time of day on which most core daemons agree.
-func (c *Core) trueTime() clock.Instant {
-	now := c.clock.Now()
-	return now.Add(c.Follower.Offset(wallClock().Sub(now)))
-}
-
 // attend does the duties of the leader.
 func (c *Core) attend(ctx context.Context) {
 	d := &c.desk
@@ -179,7 +173,7 @@
 // are sent, so that every repetition is the same.
 func (c *Core) reportUsage(ctx context.Context) {
 	length := c.Settings.Duties.UsageWindow
-	now := c.trueTime()
+	now := c.Follower.TrueTime()
 	ended := usage.Number(now.Add(-usageWait), length)
 	first := usage.Number(now.Add(-c.Settings.Duties.UsageDue-length), length)
 	for number := max(first, c.desk.reported+1); number < ended; number++ {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,9 +8,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -131,7 +129,7 @@
 	d.Store = &store.Store{
 		Settings: quorum.Settings{
 			ElectionTimeout: ElectionTimeout, Heartbeat: Heartbeat, LearnerBeat: LearnerBeat, ReplaceAfter: d.options.ReplaceAfter,
-			ForgetAfter: ForgetAfter, Voters: s.Voters, BatchBytes: batchBytes, Seed: seed(),
+			ForgetAfter: ForgetAfter, Voters: s.Voters, BatchBytes: batchBytes, Seed: kernel.RandomSeed(),
 		},
 		Self:    quorum.Member{Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region},
 		Folder:  s.DataFolder,
@@ -139,34 +137,18 @@
 		Network: d.Net,
 		Log:     d.options.Log.WithName("store"),
 	}
-	if err := d.Store.Open(randomName()); err != nil {
+	if err := d.Store.Open(kernel.RandomName()); err != nil {
 		return err
 	}
 	d.Net.Identify(d.Store.Self)
 	return nil
 }
 
-func seed() uint64 {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	v := uint64(0)
-	for _, x := range b {
-		v = v<<8 | uint64(x)
-	}
-	return v
-}
-
-func randomName() string {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // buildPaths creates the services that carry requests.
 func (d *Daemon) buildPaths() {
 	s, c, log := d.Settings, d.options.Clock, d.options.Log
 	self := member.Daemon{
-		ID: string(d.Store.Self.ID), Boot: randomName(), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
+		ID: string(d.Store.Self.ID), Boot: kernel.RandomName(), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
 	}
 	d.Roster = &roster.Roster{Self: self, Clock: c, Net: d.Net, Directory: d, Log: log.WithName("roster"), Lease: s.Lease}
 	d.Pilot = &pilot.Pilot{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -9,8 +9,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"net"
 	"net/http"
 	"sync"
@@ -96,16 +94,14 @@
 	if o.Clock == nil {
 		o.Clock = clock.Start()
 	}
-	var b [6]byte
-	_, _ = rand.Read(b[:])
 	e := &Edge{
-		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: hex.EncodeToString(b[:]), placed: make(map[string]*place.Server),
+		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: kernel.RandomName(), placed: make(map[string]*place.Server),
 	}
 	e.SetSeeds(s.Seeds)
 	e.Net = peers.New(peers.Options{Token: s.PeerToken})
 	e.Pool = &pool.Pool{Clock: e.clock}
 	e.Front = &front.Front{
-		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, TrueTime: e.trueTime,
+		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, TrueTime: func() clock.Instant { return e.Follower.TrueTime() },
 		MoreQuota: e.moreQuota,
 		Retries:   retry.Budget{Ratio: retryPart * s.Retries.Ratio, Slack: retryPart * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
@@ -164,7 +160,7 @@
 	}
 	e.work.Go(func() { e.Follower.Run(ctx) })
 	e.work.Go(func() { e.runTally(ctx) })
-	e.work.Go(func() { kernel.Every(ctx, sweepEvery, e.sweep) })
+	e.work.Go(func() { kernel.Every(ctx, sweepEvery, e.Pool.Sweep) })
 	e.callers = &http.Server{
 		Handler: e.Front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
@@ -223,14 +219,6 @@
 	return err
 }
 
-func (e *Edge) sweep() { e.Pool.Sweep() }
-
-// trueTime returns the time of day on which most daemons agree.
-func (e *Edge) trueTime() clock.Instant {
-	now := e.clock.Now()
-	return now.Add(e.Follower.Offset(clock.FromTime(time.Now()).Sub(now)))
-}
-
 // hear takes an event of a core daemon.
 func (e *Edge) hear(address string, event *peerpb.FeedEvent) {
 	if d := event.GetRules(); d != nil {
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -118,20 +118,20 @@
 	return heard, len(f.streams)
 }
 
-// Offset returns what to add to the steady clock for the time of day on which most daemons agree:
-// the median of those heard lately and own.
-func (f *Follower) Offset(own clock.Duration) clock.Duration {
+// TrueTime returns the time of day on which most daemons agree: the median of those heard lately and
+// this machine's own.
+func (f *Follower) TrueTime() clock.Instant {
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := []clock.Duration{own}
+	all := []clock.Duration{clock.FromTime(time.Now()).Sub(now)}
 	for _, r := range f.clocks {
 		if now.Sub(r.at) < clockAge {
 			all = append(all, r.offset)
 		}
 	}
 	slices.Sort(all)
-	return all[(len(all)-1)/2]
+	return now.Add(all[(len(all)-1)/2])
 }
 
 func (f *Follower) adjust(ctx context.Context) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -376,8 +376,7 @@
 		limit = x.set.Limits.BodyBytes
 	}
 	if x.r.ContentLength > limit {
-		x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(limit, 10)+" bytes; send less")
-		return false
+		return x.tooLarge(limit)
 	}
 	if x.r.ContentLength == 0 {
 		return true
@@ -396,12 +395,17 @@
 		return false
 	}
 	if int64(len(x.body)) > limit {
-		x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(limit, 10)+" bytes; send less")
-		return false
+		return x.tooLarge(limit)
 	}
 	return true
 }
 
+// tooLarge rejects a body over the limit. It returns false, as readBody does then.
+func (x *exchange) tooLarge(limit int64) bool {
+	x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(limit, 10)+" bytes; send less")
+	return false
+}
+
 // spend takes the size of the request from the account's quota.
 func (x *exchange) spend(ctx context.Context) bool {
 	f := x.front
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -113,8 +113,6 @@
 	Wait   float64
 	// Cached is the number of prompt tokens that the server is believed to hold.
 	Cached int
-	// Full tells that all slots of the server are taken.
-	Full bool
 }
 
 // Flight is a request at a server.
@@ -172,16 +170,6 @@
 	return h ^ h>>32
 }
 
-// Find returns the server with the ID, or nil.
-func (s *Service) Find(id string) *Server {
-	for _, server := range s.Servers {
-		if server.ID == id {
-			return server
-		}
-	}
-	return nil
-}
-
 // Add takes a new server.
 func (s *Service) Add(server *Server) {
 	server.seed = shareSeed(server.ID)
@@ -212,7 +200,7 @@
 		if server == home || server == second {
 			held = max(held, int(homeBelief*float64(common)))
 		}
-		wait, full := s.wait(server, q.Tokens-held)
+		wait := s.wait(server, q.Tokens-held)
 		score := wait
 		if s.Engine {
 			// A part that is read again also yields another from the memory.
@@ -224,14 +212,14 @@
 		score += float64((q.Draw>>(uint(i)%32))&3) * 0.25
 		if score < lowest {
 			lowest = score
-			best = Choice{Server: server, Wait: wait, Cached: held, Full: full}
+			best = Choice{Server: server, Wait: wait, Cached: held}
 		}
 	}
 	return best
 }
 
-// wait estimates the time to the first answer in milliseconds, and whether the server is full.
-func (s *Service) wait(server *Server, unread int) (float64, bool) {
+// wait estimates the time to the first answer in milliseconds.
+func (s *Service) wait(server *Server, unread int) float64 {
 	requests := server.Own.Requests + server.Others.Requests
 	c := &s.Costs
 	over := requests + 1 - max(server.Slots, 1)
@@ -241,11 +229,11 @@
 	}
 	if !s.Engine {
 		load := float64(requests) / float64(max(server.Slots, 1))
-		return c.First + c.Busy + queue + 0.1*c.Busy*load, over > 0
+		return c.First + c.Busy + queue + 0.1*c.Busy*load
 	}
 	ahead := float64(server.Own.Prefill + server.Others.Prefill)
 	step := c.Step + c.StepEach*float64(requests)
-	return c.First + step + queue + (ahead+float64(max(unread, 0)))/c.PrefillPerMs, over > 0
+	return c.First + step + queue + (ahead+float64(max(unread, 0)))/c.PrefillPerMs
 }
 
 // shared returns the tokens of all parts but the last, which is the request's own.
@@ -384,10 +372,7 @@
 
 // Finish records the end of a request. A failure is evidence against the server.
 func (s *Service) Finish(now clock.Instant, f *Flight, failed bool) {
-	if !f.answered {
-		f.answered = true
-		f.Server.Own.Prefill -= f.prefill
-	}
+	s.First(f)
 	f.Server.Own.Requests--
 	f.Server.Own.Memory -= f.memory
 	if !failed {
