--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -70,6 +70,11 @@
 func runNode(ctx context.Context, s *setup.Node, path string) error {
 	debug.SetGCPercent(collectPercent)
 	debug.SetMemoryLimit(s.MemoryBytes * memoryPercent / 100)
+	if s.Processors > 0 {
+		// Idle processors of the runtime look for work, which costs processor time where the VM has
+		// a part of one core.
+		runtime.GOMAXPROCS(s.Processors)
+	}
 	lines := trail.New(os.Stdout)
 	writing, stopWriting := context.WithCancel(context.Background())
 	written := make(chan struct{})
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -45,6 +45,9 @@
 	Losses int
 	// MemoryBytes bounds the process; it is ended above that.
 	MemoryBytes int64
+	// Processors is the number of threads that run at the same time; zero means as many as the
+	// VM shows.
+	Processors  int
 	StopTimeout clock.Duration
 	Retries     Retries
 	Quota       Quota
@@ -124,6 +127,7 @@
 	s.Losses = int(o.Number("losses", 1, 0, 3))
 	s.PeerToken = o.Text("peerToken", "a secret that all daemons share")
 	s.MemoryBytes = o.Number("memoryMegabytes", 256, 16, 1<<20) << 20
+	s.Processors = int(o.Number("processors", 0, 0, 1024))
 	s.StopTimeout = o.Duration("stopTimeout", 8*clock.Second)
 	s.readBounds(o)
 	o.End()
