--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -10,6 +10,7 @@
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/scale"
 	"swiftbeam/internal/slide"
+	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -39,7 +40,9 @@
 	soldOut map[string]clock.Instant
 	long    [2]slide.Window
 	short   [2]slide.Window
-	since   clock.Instant
+	// requests are those of the last longDemand.
+	requests slide.Window
+	since    clock.Instant
 	// found are the replicas that served when this leader began to buy.
 	found   int
 	foundAt clock.Instant
@@ -58,7 +61,7 @@
 }
 
 // counters are the last cumulative counts that an entry daemon reported of a service.
-type counters struct{ prefill, output uint64 }
+type counters struct{ prefill, output, requests uint64 }
 
 func (d *desk) market(now clock.Instant, service string) *market {
 	if d.markets == nil {
@@ -67,6 +70,7 @@
 	m := d.markets[service]
 	if m == nil {
 		m = &market{ordered: make(map[place]order), soldOut: make(map[string]clock.Instant), since: now}
+		m.requests.Span = longDemand
 		for i := range m.long {
 			m.long[i].Span, m.short[i].Span = longDemand, shortDemand
 		}
@@ -83,7 +87,7 @@
 	for _, s := range list {
 		key := run + "/" + s.GetService()
 		last, known := d.demands[key]
-		d.demands[key] = counters{prefill: s.GetPrefill(), output: s.GetOutput()}
+		d.demands[key] = counters{prefill: s.GetPrefill(), output: s.GetOutput(), requests: s.GetRequests()}
 		if !known {
 			continue
 		}
@@ -92,6 +96,7 @@
 			m.long[i].Add(now, float64(n))
 			m.short[i].Add(now, float64(n))
 		}
+		m.requests.Add(now, float64(s.GetRequests()-last.requests))
 	}
 }
 
@@ -115,17 +120,19 @@
 		return
 	}
 	for i := range set.Services {
-		if s := &set.Services[i]; s.Scaling != nil {
-			c.buyFor(ctx, s)
+		s := &set.Services[i]
+		// While a rollout runs, the servers of both sides are there and neither count is to change.
+		if r := c.rollout(s.Name); s.Scaling != nil && (r == nil || r.Stage.Ended()) {
+			c.buyFor(ctx, s, r)
 		}
 	}
 }
 
-func (c *Core) buyFor(ctx context.Context, s *rules.Service) {
+func (c *Core) buyFor(ctx context.Context, s *rules.Service, r *state.Rollout) {
 	now := c.clock.Now()
 	c.mu.Lock()
 	m := c.desk.market(now, s.Name)
-	zones := c.zones(s, m)
+	zones := c.zones(s, r, m)
 	if m.found == 0 {
 		for _, z := range zones {
 			m.found += z.OnDemand + z.Spot
@@ -152,8 +159,8 @@
 	}
 }
 
-// zones counts the replicas of a service.
-func (c *Core) zones(s *rules.Service, m *market) []scale.Zone {
+// zones counts the replicas of a service; those of versions that go away with a rollout are left out.
+func (c *Core) zones(s *rules.Service, rollout *state.Rollout, m *market) []scale.Zone {
 	var zones []scale.Zone
 	for name, price := range s.Scaling.ZonePrices {
 		zones = append(zones, scale.Zone{Name: name, Price: price, SoldOut: m.soldOut[name]})
@@ -165,7 +172,7 @@
 		return 1
 	})
 	for _, r := range c.table.ByID {
-		if r.Service != s.Name || r.State > enrol.Silent {
+		if r.Service != s.Name || r.State > enrol.Silent || rollout != nil && !rollout.Keeps(r.Version) {
 			continue
 		}
 		for i := range zones {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,6 +203,7 @@
 	c.work.Go(func() { c.watchState(ctx) })
 	c.work.Go(func() { kernel.Every(ctx, expireEvery, c.expire) })
 	c.work.Go(func() { kernel.Every(ctx, dutyEvery, func() { c.attend(ctx) }) })
+	c.work.Go(func() { kernel.Every(ctx, stepEvery, func() { c.stepRollouts(ctx) }) })
 	return nil
 }
 
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -67,13 +67,6 @@
 	return newest, nil
 }
 
-// StartRollout commits the order to move a service to another version.
-func (c *Core) StartRollout(ctx context.Context, service, target string, within clock.Duration) error {
-	_, err := c.propose(ctx, state.StartRollout{Service: service, Target: target, FinishBy: c.Follower.TrueTime().Add(within)})
-	c.log.Info("rollout ordered", "service", service, "target", target, "withinMs", int64(within), "error", errorText(err))
-	return err
-}
-
 // Rollout returns the newest rollout of a service.
 func (c *Core) Rollout(ctx context.Context, service string) (state.Rollout, error) {
 	if _, err := c.propose(ctx, state.Barrier{}); err != nil {
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	"swiftbeam/internal/duty"
+	"swiftbeam/internal/moves"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/usage"
@@ -34,6 +35,7 @@
 	tenure  duty.Tenure
 	markets map[string]*market
 	demands map[string]counters
+	board   moves.Board
 	// reported is the last window that the cloud took.
 	reported uint64
 }
@@ -63,6 +65,8 @@
 		d.leading = true
 		d.entries = make(map[string]*report)
 		d.markets, d.demands = nil, nil
+		d.board = moves.Board{}
+		d.board.UseShort()
 		d.bank = quota.Bank{
 			Bounds: quota.Bounds(c.Settings.Quota), Since: now,
 			Unknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
@@ -79,6 +83,11 @@
 		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
 	}
 	d.book.Hear(name+"/"+r.Msg.GetBoot(), windows)
+	samples := make([]moves.Sample, 0, len(r.Msg.GetSamples()))
+	for _, s := range r.Msg.GetSamples() {
+		samples = append(samples, wire.SampleFromPB(s))
+	}
+	d.board.Hear(c.Follower.TrueTime(), name+"/"+r.Msg.GetBoot(), samples, c.move)
 	d.hearDemand(now, name+"/"+r.Msg.GetBoot(), r.Msg.GetDemands())
 	return connect.NewResponse(c.answer(now, name, r.Msg, every)), nil
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -232,14 +232,16 @@
 	}
 }
 
-// takeRollout keeps requests from a version until its rollout is finished.
+// takeRollout puts a newer revision of a rollout in force.
 func (e *Edge) takeRollout(r *state.Rollout) {
-	barred := r.Target
-	if r.Stage == state.Finished {
-		barred = ""
-	}
-	e.log.Info("rollout", "service", r.Service, "target", r.Target, "stage", r.Stage.String(), "revision", r.Revision)
-	e.Front.Update(r.Service, func(g *front.Group) { g.Barred = barred })
+	e.Front.Update(r.Service, func(g *front.Group) {
+		if g.Rollout != nil && g.Rollout.Revision >= r.Revision {
+			return
+		}
+		g.Rollout = r
+		e.log.Info("rollout", "service", r.Service, "target", r.To, "stage", r.Stage.String(), "share", r.Share, "revision", r.Revision,
+			"reason", r.Reason.String(), "evidence", r.Evidence)
+	})
 }
 
 func (e *Edge) takeRules(address string, d *peerpb.Document) {
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -138,6 +138,9 @@
 // request builds a report.
 func (e *Edge) request() *peerpb.TallyRequest {
 	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot}
+	for _, s := range e.Front.Samples() {
+		m.Samples = append(m.Samples, wire.SampleToPB(&s))
+	}
 	e.Front.With(func(services map[string]*front.Group, purse *quota.Purse, counter *usage.Counter) {
 		for name, g := range services {
 			for _, s := range g.Servers {
@@ -148,7 +151,7 @@
 				}
 			}
 			m.Demands = append(m.Demands, &peerpb.ServiceDemand{
-				Service: name, Prefill: g.Prompt, Output: g.Output,
+				Service: name, Prefill: g.Prompt, Output: g.Output, Requests: g.Requests,
 			})
 		}
 		for _, u := range purse.Uses(e.clock.Now()) {
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -22,6 +22,8 @@
 	choice place.Choice
 	flight *place.Flight
 	conn   *pool.Conn
+	// first is the instant of the first answer of this attempt.
+	first clock.Instant
 	// whole tells that the answer was read to its end, so that the connection may be kept.
 	whole bool
 }
@@ -36,6 +38,7 @@
 	f.mu.Lock()
 	g := f.group(x.service)
 	g.Budget.Arrived(f.Clock.Now())
+	g.Requests++
 	f.mu.Unlock()
 	x.events = x.ask.After
 	for {
@@ -134,13 +137,19 @@
 	f := x.front
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.group(x.service).Choose(x.query())
+	g := f.group(x.service)
+	x.pickVersions(g)
+	choice := g.Choose(x.query())
+	if choice.Server == nil && x.otherVersions(g.Rollout) {
+		choice = g.Choose(x.query())
+	}
+	return choice
 }
 
 func (x *exchange) query() *place.Query {
 	return &place.Query{
 		Now: x.front.Clock.Now(), Zone: x.front.Zone, Tokens: x.ask.Prompt, Output: x.ask.Output, Parts: x.ask.Parts,
-		Avoid: x.avoid, Draw: rand.Uint64(),
+		Avoid: x.avoid, Versions: x.versions, Draw: rand.Uint64(),
 	}
 }
 
@@ -167,6 +176,7 @@
 		failed = false
 	}
 	g.Finish(f.Clock.Now(), a.flight, failed)
+	a.observe(g, result, failed, x.eventsN-before)
 	g.Output += uint64((x.eventsN - before) * g.EventTokens)
 	f.mu.Unlock()
 	return result
@@ -283,10 +293,7 @@
 	}
 	a.whole = true
 	x.saved = &answer{status: r.StatusCode, header: r.Header, body: body}
-	f.mu.Lock()
-	f.group(x.service).First(a.flight)
-	f.mu.Unlock()
-	x.answered()
+	a.answered()
 	if r.StatusCode >= http.StatusInternalServerError {
 		return retry.Failed
 	}
@@ -294,13 +301,20 @@
 }
 
 // answered notes the time of the first answer.
-func (x *exchange) answered() {
+func (a *attempt) answered() {
+	x, f := a.exchange, a.front
+	a.first = f.Clock.Now()
+	f.mu.Lock()
+	g := f.group(x.service)
+	g.First(a.flight)
+	a.observeFirst(g)
+	f.mu.Unlock()
 	if x.first > 0 {
 		return
 	}
-	x.first = x.front.Clock.Now()
-	if x.front.Observe != nil {
-		x.front.Observe(x.first.Sub(x.arrived))
+	x.first = a.first
+	if f.Observe != nil {
+		f.Observe(x.first.Sub(x.arrived))
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,11 +23,13 @@
 
 	"github.com/go-logr/logr"
 
+	"swiftbeam/internal/moves"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/state"
 	"swiftbeam/internal/usage"
 	"swiftbeam/pkg/clock"
 )
@@ -118,6 +120,7 @@
 	learned chan struct{}
 
 	mu       sync.Mutex
+	watch    moves.Watch
 	services map[string]*Group
 	purse    quota.Purse
 	counter  usage.Counter
@@ -130,8 +133,12 @@
 	place.Service
 	Budget      retry.Budget
 	Connections int
+	// Rollout is the newest rollout of the service, or nil.
+	Rollout *state.Rollout
 	// EventTokens is the usual number of tokens in one event.
 	EventTokens int
+	// Requests counts the requests for the service.
+	Requests uint64
 	// Prompt counts the prompt tokens that servers had to read, Output the tokens they generated.
 	Prompt uint64
 	Output uint64
@@ -159,6 +166,7 @@
 func (f *Front) SetWindows(report, limit clock.Duration) {
 	f.counter.Length = report
 	f.purse.Window = limit
+	f.watch.UseShort()
 }
 
 // Rules returns the traffic rules in force, or nil.
@@ -212,6 +220,16 @@
 	change(f.group(service))
 }
 
+// Samples returns what was counted in the rollouts that run.
+func (f *Front) Samples() []moves.Sample {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watch.Totals(func(service string) bool {
+		g := f.services[service]
+		return g != nil && g.Rollout != nil && !g.Rollout.Stage.Ended()
+	})
+}
+
 // With calls use with all mutable state while nothing else uses it.
 func (f *Front) With(use func(services map[string]*Group, purse *quota.Purse, counter *usage.Counter)) {
 	f.mu.Lock()
@@ -290,6 +308,8 @@
 
 	avoid    []string
 	attempts int
+	// versions tells which versions of the service may serve the next attempt.
+	versions func(version string) bool
 	ran      bool // an attempt may have run
 	begun    bool // a part of the answer went to the caller
 	counted  bool // the request was counted as begun
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -71,10 +71,7 @@
 			return a.lost(ctx, server, "event out of sequence", errors.Wrapf(errSequence, "got %d after %d", id, x.events))
 		}
 		if x.eventsN == 0 || !x.begun {
-			f.mu.Lock()
-			f.group(x.service).First(a.flight)
-			f.mu.Unlock()
-			x.answered()
+			a.answered()
 			x.begin(r)
 		}
 		if _, err := x.w.Write(event); err != nil {
--- a/internal/moves/ledger.go
+++ b/internal/moves/ledger.go
@@ -32,6 +32,8 @@
 	TokenGap   float64
 	// Tokens is the length of a complete answer; zero means not observed.
 	Tokens int
+	// Counted tells that the request was observed before, when its answer began.
+	Counted bool
 }
 
 // Tally counts the requests of one version on one route for one client account.
@@ -71,7 +73,11 @@
 	return t
 }
 
-func (t Tally) count(kind int) Count { return Count{Requests: t.Requests, Hits: t.Hits[kind]} }
+// count returns the requests with those of one kind. A request may have been counted in an earlier
+// window than its fault.
+func (t Tally) count(kind int) Count {
+	return Count{Requests: max(t.Requests, t.Hits[kind]), Hits: t.Hits[kind]}
+}
 
 // Scope names what a tally is about.
 type Scope struct {
@@ -84,6 +90,13 @@
 // Judge turns observations into yes or no by quantiles of the old version, one set for each
 // route.
 type Judge struct {
+	// Slow is the quantile of the old version's times, and Tolerance the factor beyond a quantile that
+	// still counts as equal. WarmUp is the number of observations before a quantile is used. Zero
+	// means slowQuantile, tolerance and warmUp.
+	Slow      float64
+	Tolerance float64
+	WarmUp    int
+
 	limits map[Scope]*thresholds
 }
 
@@ -112,36 +125,41 @@
 	key := Scope{Service: o.Service, Route: o.Route}
 	t := j.limits[key]
 	if t == nil {
-		t = &thresholds{first: quantile{at: slowQuantile}, gap: quantile{at: slowQuantile}, short: quantile{at: shortQuantile}}
+		slow := cmp.Or(j.Slow, slowQuantile)
+		t = &thresholds{first: quantile{at: slow}, gap: quantile{at: slow}, short: quantile{at: shortQuantile}}
 		j.limits[key] = t
 	}
 	tally := Tally{Requests: 1}
+	if o.Counted {
+		tally.Requests = 0
+	}
 	if o.Failed {
 		tally.Hits[failed] = 1
 		return tally
 	}
-	tally.Hits[slowFirst] = above(&t.first, o.FirstToken, old)
-	tally.Hits[slowGap] = above(&t.gap, o.TokenGap, old)
-	tally.Hits[short] = below(&t.short, float64(o.Tokens), old)
+	factor, warm := cmp.Or(j.Tolerance, tolerance), cmp.Or(j.WarmUp, warmUp)
+	tally.Hits[slowFirst] = above(&t.first, o.FirstToken, factor, warm, old)
+	tally.Hits[slowGap] = above(&t.gap, o.TokenGap, factor, warm, old)
+	tally.Hits[short] = below(&t.short, float64(o.Tokens), factor, warm, old)
 	return tally
 }
 
-func above(q *quantile, value float64, learn bool) uint64 {
+func above(q *quantile, value, factor float64, warm int, learn bool) uint64 {
 	if value == 0 {
 		return 0
 	}
-	hit := q.count >= warmUp && value > q.value*tolerance
+	hit := q.count >= warm && value > q.value*factor
 	if learn {
 		q.observe(value)
 	}
 	return flag(hit)
 }
 
-func below(q *quantile, value float64, learn bool) uint64 {
+func below(q *quantile, value, factor float64, warm int, learn bool) uint64 {
 	if value == 0 {
 		return 0
 	}
-	hit := q.count >= warmUp && value < q.value/tolerance
+	hit := q.count >= warm && value < q.value/factor
 	if learn {
 		q.observe(value)
 	}
@@ -197,6 +215,8 @@
 	From    string
 	To      string
 	Method  Method
+	// SlowMethod compares the rates of slow answers; nil means Method.
+	SlowMethod Method
 
 	total   map[Scope]*Tally
 	buckets []bucket
@@ -311,13 +331,20 @@
 	s.Version = l.From
 	old := l.old(s)
 	for kind := range kinds {
-		if method.Worse(old.count(kind), fresh.count(kind)) {
+		if l.methodOf(kind, method).Worse(old.count(kind), fresh.count(kind)) {
 			return &Finding{Reason: reasons[kind], Route: s.Route, Account: s.Account, Old: old.count(kind), New: fresh.count(kind)}
 		}
 	}
 	return nil
 }
 
+func (l *Ledger) methodOf(kind int, method Method) Method {
+	if l.SlowMethod != nil && (kind == slowFirst || kind == slowGap) {
+		return l.SlowMethod
+	}
+	return method
+}
+
 // old returns all the evidence on the old version in a scope. Without any for one client account
 // the whole route stands in.
 func (l *Ledger) old(s Scope) Tally {
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -22,19 +22,47 @@
 	"swiftbeam/pkg/clock"
 )
 
-// Plan of a move, as parts of the time from its start to its deadline.
-const (
-	// trialPart is the part spent in trial at a small share.
-	trialPart = 0.40
-	// rampPart is the part spent raising the share.
-	rampPart = 0.30
-	// watchPart is the part spent at the full share with the old version kept warm.
-	watchPart = 0.20
+// Plan divides the time of a move, from its start to its deadline.
+type Plan struct {
+	// Trial is the part spent in trial at a small share, Ramp the part spent raising the share, and
+	// Watch the part spent at the full share with the old version kept warm.
+	Trial float64
+	Ramp  float64
+	Watch float64
+	// Least is the number of requests that each route must have sent to the new version before the
+	// trial can pass. After the part LowTraffic a route with less no longer holds the move back.
+	Least      uint64
+	LowTraffic float64
+	// LeastWatch is the part that the full share lasts at least; a move that was paused too often for
+	// that does not finish.
+	LeastWatch float64
+	// Settle is the part for which a share stays before it is raised.
+	Settle float64
+}
+
+// DefaultPlan is for moves of minutes to hours. ShortPlan is for moves of seconds: the trial is longer,
+// as few requests come in its time, and each share stays until its first answers are known.
+var (
+	DefaultPlan = Plan{Trial: 0.40, Ramp: 0.30, Watch: 0.20, Least: 30, LowTraffic: 0.6, Settle: 0.015}
+	ShortPlan   = Plan{Trial: 0.50, Ramp: 0.24, Watch: 0.16, Least: 10, LowTraffic: 0.5, Settle: 0.06, LeastWatch: 0.1}
 )
 
-// MinRouteRequests is the number of requests that each route must have sent to the new version
-// before the trial can pass.
-const MinRouteRequests = 30
+// lastPart is the part after which a move finishes although old replicas still work: what is left of
+// the time goes to the commit of the step and to the operator's next look.
+const lastPart = 0.97
+
+// TrialPercent returns the share of a trial that stays within a bound on what a bad version may get
+// until the deadline: a part of the requests that are expected until then, and slack beyond it.
+func TrialPercent(part, slack, expected float64) int {
+	return max(int(100*(trialUse*part+slackUse*slack/max(expected, slack, 1))), 1)
+}
+
+// trialUse and slackUse are the parts of the bound that the trial may use up; the rest is for the
+// requests between a fault and its discovery while the share grows.
+const (
+	trialUse = 0.8
+	slackUse = 0.6
+)
 
 // rampShares are the shares after the trial.
 var rampShares = []int{1000, 2500, 5000, state.FullShare}
@@ -48,9 +76,13 @@
 
 // Inputs are what the leader knows of a move.
 type Inputs struct {
+	// Plan is the plan of the move; its zero value means DefaultPlan.
+	Plan     Plan
 	ReadyOld int
 	ReadyNew int
-	Routes   []RouteSeen
+	// RunningOld counts the requests that the old replicas still work on, where that is known.
+	RunningOld int
+	Routes     []RouteSeen
 	// Fault is the strongest evidence against the new version, if any passed the test.
 	Fault *Finding
 	// Suspicion is evidence against the new version that is not yet proof.
@@ -68,6 +100,9 @@
 	if m.Stage.Ended() {
 		return state.MoveStep{}, false
 	}
+	if in.Plan == (Plan{}) {
+		in.Plan = DefaultPlan
+	}
 	if in.Fault != nil && m.Stage != state.Waiting {
 		return step(m, state.RolledBack, 0, in.Fault.Reason, in.Fault.Evidence()), true
 	}
@@ -132,10 +167,16 @@
 }
 
 func leaveTrial(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
-	if now.Before(due(m, trialPart)) || !settled(now, m) || !routesSeen(now, m, in, MinRouteRequests) {
+	if now.Before(due(m, in.Plan.Trial)) || !settled(now, m, in.Plan) || !routesSeen(now, m, in, in.Plan.Least) {
 		return state.MoveStep{}, false
 	}
-	return step(m, state.Ramp, allowed(rampShares[0], in), state.Planned, progress(m, in)), true
+	share := rampShares[0]
+	for _, share = range rampShares {
+		if share > trialShare(m) {
+			break
+		}
+	}
+	return step(m, state.Ramp, allowed(share, in), state.Planned, progress(m, in)), true
 }
 
 func raise(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
@@ -146,8 +187,8 @@
 			break
 		}
 	}
-	part := trialPart + rampPart*float64(next)/float64(len(rampShares)-1)
-	if now.Before(due(m, part)) || !settled(now, m) || !routesSeen(now, m, in, 1) {
+	part := in.Plan.Trial + in.Plan.Ramp*float64(next)/float64(len(rampShares)-1)
+	if now.Before(due(m, part)) || !settled(now, m, in.Plan) || !routesSeen(now, m, in, 1) {
 		return state.MoveStep{}, false
 	}
 	share := allowed(rampShares[next], in)
@@ -162,7 +203,13 @@
 }
 
 func leaveWatch(now clock.Instant, m *state.Move, in Inputs) (state.MoveStep, bool) {
-	if in.ReadyNew == 0 || now.Before(due(m, trialPart+rampPart+watchPart)) {
+	if in.ReadyNew == 0 || now.Before(due(m, in.Plan.Trial+in.Plan.Ramp+in.Plan.Watch)) {
+		return state.MoveStep{}, false
+	}
+	if now.Sub(m.StageAt) < clock.Duration(in.Plan.LeastWatch*float64(m.FinishBy.Sub(m.Started))) {
+		return state.MoveStep{}, false
+	}
+	if in.RunningOld > 0 && now.Before(due(m, lastPart)) {
 		return state.MoveStep{}, false
 	}
 	return step(m, state.Finished, state.FullShare, state.Planned, progress(m, in)), true
@@ -184,23 +231,16 @@
 	return m.Started.Add(clock.Duration(part * float64(whole)))
 }
 
-// settlePart is the part of the move's time that a share stays before it is raised.
-const settlePart = 0.015
-
 // settled reports whether the present share has been in force for long enough to be raised.
-func settled(now clock.Instant, m *state.Move) bool {
+func settled(now clock.Instant, m *state.Move, p Plan) bool {
 	whole := m.FinishBy.Sub(m.Started)
-	return now.Sub(m.ShareAt) >= clock.Duration(settlePart*float64(whole))
+	return now.Sub(m.ShareAt) >= clock.Duration(p.Settle*float64(whole))
 }
 
-// lowTrafficPart is the part of the move's time after which a route with less traffic than
-// wanted no longer holds the move back.
-const lowTrafficPart = 0.6
-
 // routesSeen reports whether each route sent enough requests to the new version. A route
 // without traffic counts as seen; a route with little traffic does late in the plan.
 func routesSeen(now clock.Instant, m *state.Move, in Inputs, least uint64) bool {
-	late := !now.Before(due(m, lowTrafficPart))
+	late := !now.Before(due(m, in.Plan.LowTraffic))
 	for _, r := range in.Routes {
 		if r.New >= least || r.Old+r.New == 0 {
 			continue
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -7,10 +7,8 @@
 package pilot
 
 import (
-	"cmp"
 	"context"
 	"hash/fnv"
-	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -23,6 +21,7 @@
 	"swiftbeam/internal/roster"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/store"
+	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -46,33 +45,13 @@
 	// Leased reports whether traffic may go to versions that are not settled.
 	Leased func() bool
 
-	mu     sync.Mutex
-	judge  moves.Judge
-	pacers map[string]*moves.Pacer
-	local  map[string]*evidence
-	global map[string]*evidence
-	// totals are the cumulative tallies of this daemon, reported to the leader.
-	totals map[moves.Scope]*moves.Tally
-	// heard are the totals that each daemon reported last.
-	heard map[string]map[moves.Scope]moves.Tally
-}
-
-// evidence is the ledger of one move with the brake that it pulled.
-type evidence struct {
-	ledger  moves.Ledger
-	started clock.Instant
-	fault   *moves.Finding
+	mu    sync.Mutex
+	watch moves.Watch
+	board moves.Board
 }
 
 // Start begins to report and to decide.
 func (p *Pilot) Start(ctx context.Context, g *kernel.Group) error {
-	p.mu.Lock()
-	p.pacers = make(map[string]*moves.Pacer)
-	p.local = make(map[string]*evidence)
-	p.global = make(map[string]*evidence)
-	p.totals = make(map[moves.Scope]*moves.Tally)
-	p.heard = make(map[string]map[moves.Scope]moves.Tally)
-	p.mu.Unlock()
 	g.Go(func() { kernel.Every(ctx, ReportInterval, func() { p.round(ctx) }) })
 	return nil
 }
@@ -109,12 +88,7 @@
 		ReadyOld: p.Roster.Ready(service, m.From), Braked: ready == 0 || p.Avoids(service, m.To),
 	}
 	p.mu.Lock()
-	pacer := p.pacers[service]
-	if pacer == nil {
-		pacer = &moves.Pacer{}
-		p.pacers[service] = pacer
-	}
-	version := pacer.Pick(m, ask)
+	version := p.watch.Pick(m, service, ask)
 	p.mu.Unlock()
 	if version != m.To || m.Stage != state.Trial {
 		return version, 0
@@ -141,8 +115,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e := p.local[service]
-	return e != nil && e.started == m.Started && e.fault != nil
+	return p.watch.Braked(m)
 }
 
 // Observe takes the end of a request as evidence.
@@ -150,74 +123,20 @@
 	m := p.move(o.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := m == nil || o.Version != m.To
-	tally := p.judge.Classify(o, old)
-	if m == nil || m.Stage.Ended() || o.Version != m.To && o.Version != m.From {
-		return
-	}
-	scope := moves.Scope{Service: o.Service, Version: o.Version, Route: o.Route, Account: o.Account}
-	e := p.evidence(p.local, m)
-	e.ledger.Add(p.Clock.Now(), scope, tally)
-	if p.totals[scope] == nil {
-		p.totals[scope] = &moves.Tally{}
-	}
-	p.totals[scope].Add(tally)
-	if !old && e.fault == nil {
-		if e.fault = e.ledger.Find(); e.fault != nil {
-			p.Log.Info("brake pulled", "service", o.Service, "version", o.Version, "evidence", e.fault.Evidence())
-		}
+	if fault := p.watch.Observe(p.Clock.Now(), m, o); fault != nil {
+		p.Log.Info("brake pulled", "service", o.Service, "version", o.Version, "evidence", fault.Evidence())
 	}
 }
 
-// evidence returns the ledger of a move, a new one when the move was started anew.
-func (p *Pilot) evidence(of map[string]*evidence, m *state.Move) *evidence {
-	e := of[m.Service]
-	if e != nil && e.started == m.Started && e.ledger.To == m.To {
-		return e
-	}
-	e = &evidence{
-		started: m.Started,
-		ledger:  moves.Ledger{Service: m.Service, From: m.From, To: m.To, Method: moves.DefaultTest},
-	}
-	of[m.Service] = e
-	return e
-}
-
 // Collect takes the report of a daemon.
 func (p *Pilot) Collect(r *peerpb.ReportRequest) {
-	now := p.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	last := p.heard[r.GetDaemon()]
-	next := make(map[moves.Scope]moves.Tally, len(r.GetSamples()))
+	list := make([]moves.Sample, 0, len(r.GetSamples()))
 	for _, s := range r.GetSamples() {
-		scope := moves.Scope{Service: s.GetService(), Version: s.GetVersion(), Route: s.GetRoute(), Account: s.GetAccount()}
-		total := tallyFromPB(s)
-		next[scope] = total
-		p.addGlobal(now, scope, total.Since(last[scope]))
-	}
-	p.heard[r.GetDaemon()] = next
-}
-
-func (p *Pilot) addGlobal(now clock.Instant, scope moves.Scope, t moves.Tally) {
-	m := p.move(scope.Service)
-	if t.Requests == 0 || m == nil || m.Stage.Ended() || scope.Version != m.To && scope.Version != m.From {
-		return
-	}
-	e := p.evidence(p.global, m)
-	e.ledger.Add(now, scope, t)
-}
-
-func tallyFromPB(s *peerpb.Sample) moves.Tally {
-	return moves.NewTally(s.GetRequests(), s.GetFailed(), s.GetSlowFirst(), s.GetSlowGap(), s.GetShortAnswers())
-}
-
-func tallyToPB(scope moves.Scope, t *moves.Tally) *peerpb.Sample {
-	failed, slowFirst, slowGap, short := t.Counts()
-	return &peerpb.Sample{
-		Service: scope.Service, Version: scope.Version, Route: scope.Route, Account: scope.Account,
-		Requests: t.Requests, Failed: failed, SlowFirst: slowFirst, SlowGap: slowGap, ShortAnswers: short,
+		list = append(list, wire.SampleFromPB(s))
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.board.Hear(p.Clock.Now(), r.GetDaemon(), list, p.move)
 }
 
 func (p *Pilot) round(ctx context.Context) {
@@ -234,16 +153,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := &peerpb.ReportRequest{Daemon: p.Self}
-	for scope, t := range p.totals {
-		if m := p.move(scope.Service); m == nil || m.Stage.Ended() {
-			delete(p.totals, scope)
-			continue
-		}
-		r.Samples = append(r.Samples, tallyToPB(scope, t))
+	for _, sample := range p.watch.Totals(p.runs) {
+		r.Samples = append(r.Samples, wire.SampleToPB(&sample))
 	}
 	return r
 }
 
+// runs reports whether a service is being moved.
+func (p *Pilot) runs(service string) bool {
+	m := p.move(service)
+	return m != nil && !m.Stage.Ended()
+}
+
 func (p *Pilot) send(ctx context.Context, leader string) {
 	r := p.report()
 	if len(r.GetSamples()) == 0 {
@@ -275,15 +196,8 @@
 	var steps []state.MoveStep
 	for i := range running {
 		m := &running[i]
-		e := p.evidence(p.global, m)
-		if e.fault == nil {
-			e.fault = e.ledger.Find()
-		}
-		step, ok := moves.Decide(now, m, moves.Inputs{
-			ReadyOld: p.Roster.Ready(m.Service, m.From), ReadyNew: p.Roster.Ready(m.Service, m.To),
-			Routes: e.ledger.Seen(routes[m.Service]), Fault: e.fault,
-			Suspicion: e.ledger.Suspect(), Faults: e.ledger.Faults(),
-		})
+		in := moves.Inputs{ReadyOld: p.Roster.Ready(m.Service, m.From), ReadyNew: p.Roster.Ready(m.Service, m.To)}
+		step, ok := moves.Decide(now, m, p.board.Judge(m, routes[m.Service], in))
 		if ok {
 			steps = append(steps, step)
 		}
@@ -306,8 +220,7 @@
 			}
 		}
 	})
-	slices.SortFunc(list, func(a, b state.Move) int { return cmp.Compare(a.Service, b.Service) })
-	return list, routes
+	return moves.Ordered(list), routes
 }
 
 // Dump is the shown state of a pilot.
@@ -321,12 +234,5 @@
 	running, _ := p.running()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := Dump{Moves: running}
-	for service, e := range p.local {
-		if e.fault != nil {
-			d.Braked = append(d.Braked, service)
-		}
-	}
-	slices.Sort(d.Braked)
-	return d
+	return Dump{Moves: running, Braked: p.watch.Held()}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -83,8 +83,6 @@
 	Servers []*Server
 	Costs   Costs
 	Engine  bool
-	// Barred is a version that gets no requests; empty bars none.
-	Barred string
 
 	warm map[uint64][]holder
 }
@@ -104,7 +102,9 @@
 	Parts  []Part
 	// Avoid are the IDs of servers that were tried.
 	Avoid []string
-	Draw  uint64
+	// Versions reports whether servers of a version may be chosen; nil allows all.
+	Versions func(version string) bool
+	Draw     uint64
 }
 
 // Choice is a server with the time to its first answer to expect, in milliseconds.
@@ -120,7 +120,7 @@
 	Server   *Server
 	prefill  int
 	memory   int
-	started  clock.Instant
+	Started  clock.Instant
 	answered bool
 }
 
@@ -190,7 +190,7 @@
 	lowest := math.Inf(1)
 	out := s.leftOut(q.Now)
 	for i, server := range s.Servers {
-		if s.Barred != "" && server.Version == s.Barred || slices.Contains(q.Avoid, server.ID) {
+		if q.Versions != nil && !q.Versions(server.Version) || slices.Contains(q.Avoid, server.ID) {
 			continue
 		}
 		if out && server.out(q.Now) {
@@ -278,7 +278,7 @@
 	seed := shareSeed(q.Parts[len(q.Parts)-2].ID)
 	var highest, next uint64
 	for _, server := range s.Servers {
-		if server.out(q.Now) {
+		if server.out(q.Now) || q.Versions != nil && !q.Versions(server.Version) {
 			continue
 		}
 		mix := (seed ^ server.seed) * 0x9e3779b97f4a7c15
@@ -312,7 +312,7 @@
 
 // Start records that a request goes to the chosen server.
 func (s *Service) Start(now clock.Instant, c Choice, q *Query) *Flight {
-	f := &Flight{Server: c.Server, started: now, memory: q.Tokens + q.Output/2}
+	f := &Flight{Server: c.Server, Started: now, memory: q.Tokens + q.Output/2}
 	f.prefill = max(q.Tokens-c.Cached, 0)
 	c.Server.Own.Requests++
 	c.Server.Own.Prefill += f.prefill
@@ -376,7 +376,7 @@
 	f.Server.Own.Requests--
 	f.Server.Own.Memory -= f.memory
 	if !failed {
-		s.Costs.Busy += averageWeight / 4 * (float64(now.Sub(f.started)) - s.Costs.Busy)
+		s.Costs.Busy += averageWeight / 4 * (float64(now.Sub(f.Started)) - s.Costs.Busy)
 	}
 	f.Server.judge(now, failed)
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -172,9 +172,8 @@
 func TestBarredVersionGetsNothing(t *testing.T) {
 	s := service(4)
 	s.Servers[0].Version, s.Servers[1].Version = "v2", "v2"
-	s.Barred = "v2"
 	for i := range 100 {
-		q := &Query{Now: 1000, Zone: "z", Tokens: 1000, Draw: uint64(i)}
+		q := &Query{Now: 1000, Zone: "z", Tokens: 1000, Draw: uint64(i), Versions: func(v string) bool { return v != "v2" }}
 		c := s.Choose(q)
 		if c.Server.Version == "v2" {
 			t.Fatalf("got %s of the barred version", c.Server.ID)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -13,6 +13,9 @@
 	"swiftbeam/pkg/clock"
 )
 
+// fifty is the number of faulty answers after which a version must be gone soon, whatever its share.
+const fifty = 50
+
 // tick is the pause between two reports and decisions, as on the daemons.
 const tick = 500 * clock.Millisecond
 
@@ -20,6 +23,8 @@
 type Options struct {
 	// Method replaces the method that compares versions; nil means the one of the daemons.
 	Method moves.Method
+	// Short replays a move that is done within seconds, as entry daemons do.
+	Short bool
 }
 
 // Result is what became of a case.
@@ -40,6 +45,10 @@
 	// Clearance is the time from the first faulty answer to the last request that was sent to the
 	// new version; zero when there was no faulty answer.
 	Clearance clock.Duration
+	// Bad counts the faulty answers of the new version, and After50 is the time from the fiftieth of
+	// them to the last request that was sent to the new version.
+	Bad     int
+	After50 clock.Duration
 	// Pause is the time from the first faulty answer to the first pause.
 	Pause clock.Duration
 }
@@ -81,6 +90,8 @@
 	routeAll map[string]int
 	routeNew map[string]int
 	firstBad clock.Instant
+	bad50    clock.Instant
+	short    bool
 }
 
 // daemon judges requests and brakes by itself.
@@ -131,9 +142,17 @@
 			Service: c.Service, From: "old", To: "new", FinishBy: clock.Instant(c.FinishInMs), Trial: c.TrialPercent, Revision: 1,
 		},
 	}
+	r.short = o.Short
 	r.global = r.ledger(o.Method)
 	for range c.Daemons {
-		r.daemons = append(r.daemons, &daemon{ledger: r.ledger(o.Method)})
+		d := &daemon{ledger: r.ledger(o.Method)}
+		if o.Short {
+			d.judge = moves.ShortJudge
+		}
+		r.daemons = append(r.daemons, d)
+	}
+	if o.Short {
+		r.serveBefore()
 	}
 	for r.now <= r.move.FinishBy.Add(tick) && !r.move.Stage.Ended() {
 		r.step()
@@ -145,8 +164,25 @@
 	return r.result
 }
 
+// servedBefore is how long the daemons have served the old version before a short move.
+const servedBefore = 20 * clock.Second
+
+// serveBefore lets the daemons learn the times of the old version.
+func (r *run) serveBefore() {
+	for range int(r.Traffic.RatePerSecond * servedBefore.Std().Seconds()) {
+		q := r.draw()
+		r.daemons[q.Daemon].judge.Classify(moves.Observation{
+			Service: r.Service, Version: "old", Route: q.Route, Failed: q.Old.Failed, FirstToken: q.Old.FirstTokenMs, TokenGap: q.Old.GapMs,
+		}, true)
+	}
+}
+
 func (r *run) ledger(m moves.Method) *moves.Ledger {
-	return &moves.Ledger{Service: r.Service, From: "old", To: "new", Method: m}
+	l := &moves.Ledger{Service: r.Service, From: "old", To: "new", Method: m}
+	if r.short {
+		l.Method, l.SlowMethod = moves.ShortTest, moves.ShortSlow
+	}
+	return l
 }
 
 func (r *run) step() {
@@ -294,11 +330,23 @@
 	if !answer.Failed {
 		took += clock.Duration(answer.GapMs * float64(answer.Tokens))
 	}
-	when := int((clock.Duration(r.now) + took) / tick)
-	r.pending[when] = append(r.pending[when], ended{observation: o, daemon: q.Daemon, faulty: r.faulty(&q, version)})
+	end := ended{observation: o, daemon: q.Daemon, faulty: r.faulty(&q, version)}
+	if r.short && !answer.Failed {
+		first := end
+		first.observation.TokenGap, first.observation.Tokens = 0, 0
+		r.await(clock.Duration(answer.FirstTokenMs), first)
+		end.observation.FirstToken, end.observation.Counted, end.faulty = 0, true, false
+	}
+	r.await(took, end)
 	r.count(q.Route, version)
 }
 
+// await notes an outcome that is known after a time.
+func (r *run) await(after clock.Duration, e ended) {
+	when := int((clock.Duration(r.now) + after) / tick)
+	r.pending[when] = append(r.pending[when], e)
+}
+
 // faulty tells whether a fault of the case applies to the request.
 func (r *run) faulty(q *Request, version string) bool {
 	return version == "new" && slices.ContainsFunc(r.Faults, func(f Fault) bool { return r.shows(f, q, "new") })
@@ -315,6 +363,9 @@
 	if r.firstBad > 0 {
 		r.result.Clearance = r.now.Sub(r.firstBad)
 	}
+	if r.bad50 > 0 {
+		r.result.After50 = r.now.Sub(r.bad50)
+	}
 }
 
 // end takes the outcomes that are known in this tick. The leader hears them a tick later.
@@ -332,6 +383,11 @@
 
 func (r *run) observe(e ended) {
 	d, o := r.daemons[e.daemon], e.observation
+	if e.faulty && (o.Failed || r.showsUnfailed()) {
+		if r.result.Bad++; r.result.Bad == fifty {
+			r.bad50 = r.now
+		}
+	}
 	if e.faulty && r.firstBad == 0 && (o.Failed || r.showsUnfailed()) {
 		r.firstBad = r.now
 		for route, n := range r.routeNew {
@@ -363,7 +419,12 @@
 	for _, s := range r.Traffic.Routes {
 		routes = append(routes, s.Name)
 	}
+	plan := moves.DefaultPlan
+	if r.short {
+		plan = moves.ShortPlan
+	}
 	step, ok := moves.Decide(r.now, r.move, moves.Inputs{
+		Plan:     plan,
 		ReadyOld: r.ReadyOld, ReadyNew: r.readyNew, Routes: r.global.Seen(routes), Fault: r.fault,
 		Suspicion: r.global.Suspect(), Faults: r.global.Faults(),
 	})
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -52,6 +52,14 @@
 	Retries     Retries
 	Quota       Quota
 	Duties      Duties
+	Exposure    Exposure
+}
+
+// Exposure bounds the requests that a bad version may get in a rollout: a part of those for its
+// service, and a number beyond that.
+type Exposure struct {
+	Part  float64
+	Slack float64
 }
 
 // Retries bound the requests that are sent to a further backend server, over all daemons.
@@ -85,6 +93,9 @@
 	CallsPerSecond float64
 }
 
+// defaultExposure is the share that the product allows a version on trial.
+const defaultExposure = 0.02
+
 // LoadNode reads and checks the settings file of an entry or core daemon.
 func LoadNode(path string) (*Node, []conf.Problem, error) {
 	text, err := os.ReadFile(path)
@@ -180,6 +191,13 @@
 		s.Retries.Window = b.Duration("window", s.Retries.Window)
 		b.End()
 	}
+	s.Exposure = Exposure{Part: defaultExposure}
+	if n, ok := o.Get("exposure"); ok {
+		b := n.Object()
+		s.Exposure.Part = b.Fraction("part", defaultExposure, 0, 1)
+		s.Exposure.Slack = b.Fraction("slack", 0, 0, 1e9)
+		b.End()
+	}
 	s.Quota = Quota{Window: 10 * clock.Second}
 	if n, ok := o.Get("quota"); ok {
 		b := n.Object()
--- a/internal/state/rules.go
+++ b/internal/state/rules.go
@@ -1,6 +1,10 @@
 package state
 
-import "swiftbeam/pkg/clock"
+import (
+	"slices"
+
+	"swiftbeam/pkg/clock"
+)
 
 // Rules are one version of the traffic rules as the operator wrote them.
 type Rules struct {
@@ -29,38 +33,42 @@
 // UsageWindows is the number of windows kept.
 const UsageWindows = 32
 
-// Rollout is the move of a service's traffic to the servers of another version.
+// Rollout is the move of a service's traffic from the servers of all other versions to those of
+// version To. Its instants are of the time of day that the daemons agree on.
 type Rollout struct {
-	Service  string
-	Target   string
-	Stage    Stage
-	Started  clock.Instant
-	FinishBy clock.Instant
-	// Share is the part of the traffic for the target, in hundredths of a percent.
-	Share    int
-	Revision uint64
+	Move
+	// Withdrawn are the versions of earlier rollouts that did not finish.
+	Withdrawn []string
+}
+
+// Keeps reports whether the servers of a version stay in use when the rollout has ended, or would
+// if it were rolled back now.
+func (r *Rollout) Keeps(version string) bool {
+	if r.Stage == Finished {
+		return version == r.To
+	}
+	return version != r.To && !slices.Contains(r.Withdrawn, version)
 }
 
 // StartRollout asks to move a service to the servers of version Target.
 type StartRollout struct {
 	Service  string
 	Target   string
+	At       clock.Instant
 	FinishBy clock.Instant
 }
 
 // StepRollout takes a rollout from a revision to another stage or share.
 type StepRollout struct {
-	Service  string
-	Target   string
-	Revision uint64
-	Stage    Stage
-	Share    int
+	MoveStep
+	At clock.Instant
+	// Trial replaces the rollout's where it is above zero.
+	Trial int
 }
 
 func (PutRules) command()     {}
 func (PutUsage) command()     {}
 func (StartRollout) command() {}
-func (StepRollout) command()  {}
 
 func (s *State) putRules(b PutRules) Result {
 	if b.Version > s.Rules.Version {
@@ -85,28 +93,35 @@
 
 func (s *State) startRollout(b StartRollout) Result {
 	old := s.Rollouts[b.Service]
-	if old != nil && old.Target == b.Target && !old.Stage.Ended() {
+	if old != nil && old.To == b.Target && !old.Stage.Ended() {
 		return Result{Code: Existing, Version: old.Revision}
 	}
-	revision := uint64(1)
+	r := &Rollout{Move: Move{
+		Service: b.Service, To: b.Target, Started: b.At, FinishBy: b.FinishBy, Revision: 1, StageAt: b.At, ShareAt: b.At,
+	}}
 	if old != nil {
-		revision = old.Revision + 1
-	}
-	s.Rollouts[b.Service] = &Rollout{
-		Service: b.Service, Target: b.Target, Started: s.Now, FinishBy: b.FinishBy, Revision: revision,
+		r.Revision = old.Revision + 1
+		r.Withdrawn = slices.Clone(old.Withdrawn)
+		if old.Stage != Finished {
+			r.Withdrawn = append(r.Withdrawn, old.To)
+		}
+		r.Withdrawn = slices.DeleteFunc(r.Withdrawn, func(v string) bool { return v == b.Target })
 	}
-	return Result{Version: revision}
+	s.Rollouts[b.Service] = r
+	return Result{Version: r.Revision}
 }
 
 func (s *State) stepRollout(b StepRollout) Result {
 	r := s.Rollouts[b.Service]
-	if r == nil || r.Target != b.Target {
+	if r == nil || r.To != b.Version {
 		return Result{Code: UnknownThing}
 	}
 	if r.Revision != b.Revision || r.Stage.Ended() {
 		return Result{Code: Stale, Version: r.Revision}
 	}
-	r.Stage, r.Share = b.Stage, b.Share
-	r.Revision++
+	if b.Trial > 0 {
+		r.Trial = b.Trial
+	}
+	ApplyStep(b.At, &r.Move, b.MoveStep)
 	return Result{Version: r.Revision}
 }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"swiftbeam/internal/moves"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -27,10 +28,7 @@
 			Outcome: uint32(b.Outcome), Status: uint32(b.Status), ContentType: b.ContentType, Body: b.Body,
 		}}
 	case state.MoveStep:
-		m.Body = &peerpb.Command_MoveStep{MoveStep: &peerpb.MoveStep{
-			Service: b.Service, Version: b.Version, Revision: b.Revision, Stage: uint32(b.Stage),
-			Share: uint32(b.Share), Reason: uint32(b.Reason), Evidence: b.Evidence, Faults: b.Faults,
-		}}
+		m.Body = &peerpb.Command_MoveStep{MoveStep: moveStepToPB(b)}
 	case state.TakeOrder:
 		m.Body = &peerpb.Command_TakeOrder{TakeOrder: &peerpb.TakeOrder{
 			Operation: b.Operation, Target: b.Target, Kind: uint32(b.Kind), Argument: b.Argument, Holder: b.Holder,
@@ -45,12 +43,10 @@
 		m.Body = &peerpb.Command_PutUsage{PutUsage: &peerpb.PutUsage{Number: b.Number, Counts: b.Counts}}
 	case state.StartRollout:
 		m.Body = &peerpb.Command_StartRollout{StartRollout: &peerpb.StartRollout{
-			Service: b.Service, Target: b.Target, FinishBy: int64(b.FinishBy),
+			Service: b.Service, Target: b.Target, At: int64(b.At), FinishBy: int64(b.FinishBy),
 		}}
 	case state.StepRollout:
-		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{
-			Service: b.Service, Target: b.Target, Revision: b.Revision, Stage: uint32(b.Stage), Share: uint32(b.Share),
-		}}
+		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{Step: moveStepToPB(b.MoveStep), At: int64(b.At), Trial: uint32(b.Trial)}}
 	case state.Barrier:
 		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
 	}
@@ -84,12 +80,7 @@
 			ContentType: p.GetContentType(), Body: p.GetBody(),
 		}
 	case *peerpb.Command_MoveStep:
-		p := b.MoveStep
-		c.Body = state.MoveStep{
-			Service: p.GetService(), Version: p.GetVersion(), Revision: p.GetRevision(), Stage: state.Stage(p.GetStage()),
-			Share: int(p.GetShare()), Reason: state.Reason(p.GetReason()), Evidence: p.GetEvidence(),
-			Faults: p.GetFaults(),
-		}
+		c.Body = moveStepFromPB(b.MoveStep)
 	case *peerpb.Command_TakeOrder:
 		p := b.TakeOrder
 		c.Body = state.TakeOrder{
@@ -105,13 +96,12 @@
 		c.Body = state.PutUsage{Number: b.PutUsage.GetNumber(), Counts: b.PutUsage.GetCounts()}
 	case *peerpb.Command_StartRollout:
 		p := b.StartRollout
-		c.Body = state.StartRollout{Service: p.GetService(), Target: p.GetTarget(), FinishBy: clock.Instant(p.GetFinishBy())}
+		c.Body = state.StartRollout{
+			Service: p.GetService(), Target: p.GetTarget(), At: clock.Instant(p.GetAt()), FinishBy: clock.Instant(p.GetFinishBy()),
+		}
 	case *peerpb.Command_StepRollout:
 		p := b.StepRollout
-		c.Body = state.StepRollout{
-			Service: p.GetService(), Target: p.GetTarget(), Revision: p.GetRevision(),
-			Stage: state.Stage(p.GetStage()), Share: int(p.GetShare()),
-		}
+		c.Body = state.StepRollout{MoveStep: moveStepFromPB(p.GetStep()), At: clock.Instant(p.GetAt()), Trial: int(p.GetTrial())}
 	case *peerpb.Command_Barrier:
 		c.Body = state.Barrier{}
 	default:
@@ -203,7 +193,7 @@
 	sortBy(m.Operations, (*peerpb.Operation).GetId)
 	sortBy(m.Moves, (*peerpb.Move).GetService)
 	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
-	sortBy(m.Rollouts, (*peerpb.RolloutRecord).GetService)
+	sortBy(m.Rollouts, func(r *peerpb.RolloutRecord) string { return r.GetMove().GetService() })
 	slices.SortFunc(m.Usage, func(a, b *peerpb.PutUsage) int { return cmp.Compare(a.Number, b.Number) })
 	slices.SortFunc(m.Once, func(a, b *peerpb.OnceRecord) int {
 		return cmp.Or(cmp.Compare(a.Account, b.Account), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Key, b.Key))
@@ -248,7 +238,7 @@
 		s.Usage[u.GetNumber()] = state.Usage{Number: u.GetNumber(), Counts: u.GetCounts()}
 	}
 	for _, r := range m.GetRollouts() {
-		s.Rollouts[r.GetService()] = RolloutFromPB(r)
+		s.Rollouts[r.GetMove().GetService()] = RolloutFromPB(r)
 	}
 	s.Rebuild()
 	return s, nil
@@ -256,18 +246,43 @@
 
 // RolloutToPB maps a rollout to its message.
 func RolloutToPB(r *state.Rollout) *peerpb.RolloutRecord {
-	return &peerpb.RolloutRecord{
-		Service: r.Service, Target: r.Target, Stage: uint32(r.Stage), Started: int64(r.Started),
-		FinishBy: int64(r.FinishBy), Share: uint32(r.Share), Revision: r.Revision,
-	}
+	return &peerpb.RolloutRecord{Move: moveToPB(&r.Move), Withdrawn: r.Withdrawn}
 }
 
 // RolloutFromPB maps a message to its rollout.
 func RolloutFromPB(m *peerpb.RolloutRecord) *state.Rollout {
-	return &state.Rollout{
-		Service: m.GetService(), Target: m.GetTarget(), Stage: state.Stage(m.GetStage()),
-		Started: clock.Instant(m.GetStarted()), FinishBy: clock.Instant(m.GetFinishBy()),
-		Share: int(m.GetShare()), Revision: m.GetRevision(),
+	return &state.Rollout{Move: *moveFromPB(m.GetMove()), Withdrawn: m.GetWithdrawn()}
+}
+
+func moveStepToPB(b state.MoveStep) *peerpb.MoveStep {
+	return &peerpb.MoveStep{
+		Service: b.Service, Version: b.Version, Revision: b.Revision, Stage: uint32(b.Stage),
+		Share: uint32(b.Share), Reason: uint32(b.Reason), Evidence: b.Evidence, Faults: b.Faults,
+	}
+}
+
+func moveStepFromPB(p *peerpb.MoveStep) state.MoveStep {
+	return state.MoveStep{
+		Service: p.GetService(), Version: p.GetVersion(), Revision: p.GetRevision(), Stage: state.Stage(p.GetStage()),
+		Share: int(p.GetShare()), Reason: state.Reason(p.GetReason()), Evidence: p.GetEvidence(),
+		Faults: p.GetFaults(),
+	}
+}
+
+// SampleToPB maps a tally of a move to its message.
+func SampleToPB(s *moves.Sample) *peerpb.Sample {
+	failed, slowFirst, slowGap, short := s.Counts()
+	return &peerpb.Sample{
+		Service: s.Service, Version: s.Version, Route: s.Route, Account: s.Account,
+		Requests: s.Requests, Failed: failed, SlowFirst: slowFirst, SlowGap: slowGap, ShortAnswers: short,
+	}
+}
+
+// SampleFromPB maps a message to its tally.
+func SampleFromPB(m *peerpb.Sample) moves.Sample {
+	return moves.Sample{
+		Scope: moves.Scope{Service: m.GetService(), Version: m.GetVersion(), Route: m.GetRoute(), Account: m.GetAccount()},
+		Tally: moves.NewTally(m.GetRequests(), m.GetFailed(), m.GetSlowFirst(), m.GetSlowGap(), m.GetShortAnswers()),
 	}
 }
 
