The time of day leaves out short steps of the VMs' clocks

Now each daemon goes on with its steady clock through a step and believes it after 30 s. Ruled out: a late or lost report of an entry daemon; window was reported at 36.2 s, 2.5 s before its time, by a leader that stayed. Conclusion: steps of any share of the clocks that last under 30 s change nothing.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,9 +133,10 @@
 		First: c.firstVoters, Others: c.otherCores,
 	}
 	c.joiner.OnCaughtUp = c.refresh
-	c.Source = &feed.Source{Clock: c.clock, WallClock: wallClock, Shared: c.shared}
+	wall := &feed.Wall{Clock: c.clock, Log: c.log}
+	c.Source = &feed.Source{Clock: c.clock, Wall: wall, Shared: c.shared}
 	c.Follower = &feed.Follower{
-		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, Log: c.log, Client: c.Net.FeedClient,
+		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, Wall: wall, Log: c.log, Client: c.Net.FeedClient,
 		Seeds: c.otherCores, OnEvent: c.hear,
 	}
 	if o.Metrics != nil {
@@ -165,8 +166,6 @@
 	})
 }
 
-func wallClock() clock.Instant { return clock.FromTime(time.Now()) }
-
 // SetSeeds replaces the addresses that the settings name.
 func (c *Core) SetSeeds(seeds []string) { c.seeds.Store(&seeds) }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -336,9 +336,9 @@
 	g.put(1)
 	g.leader()
 	e := &entry{g: g, counter: usage.Counter{Length: clock.Second}, truth: make(map[uint64]uint64)}
-	first := usage.Number(wallClock(), clock.Second) + 1
+	first := usage.Number(clock.FromTime(time.Now()), clock.Second) + 1
 	for step := range 130 {
-		now := wallClock()
+		now := clock.FromTime(time.Now())
 		e.counter.Began(now, "atelier")
 		e.truth[usage.Number(now, clock.Second)]++
 		// A new leader hears from the entry daemon only after a while.
@@ -366,7 +366,7 @@
 		reported[n] = c.usage.Counts["atelier"]
 	}
 	checked := 0
-	for n := first; n < usage.Number(wallClock(), clock.Second)-4; n++ {
+	for n := first; n < usage.Number(clock.FromTime(time.Now()), clock.Second)-4; n++ {
 		checked++
 		if got, want := reported[n], e.truth[n]; got != want {
 			t.Errorf("window %d: got %d reported, want %d", n, got, want)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -107,7 +107,7 @@
 	}
 	e.Front.SetWindows(s.Duties.UsageWindow, s.Quota.Window)
 	e.Follower = &feed.Follower{
-		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, Log: o.Log, Client: e.Net.FeedClient,
+		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, Wall: &feed.Wall{Clock: e.clock, Log: o.Log}, Log: o.Log, Client: e.Net.FeedClient,
 		Seeds: func() []string { return *e.seeds.Load() }, OnEvent: e.hear,
 	}
 	e.tally.wake = make(chan struct{}, 1)
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -48,6 +48,7 @@
 	// Self is the address not to follow.
 	Self   string
 	Clock  clock.Clock
+	Wall   *Wall
 	Log    logr.Logger
 	Client func(address string) peerpbconnect.FeedClient
 	// Seeds returns the addresses that the settings name now.
@@ -124,7 +125,7 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := []clock.Duration{clock.FromTime(time.Now()).Sub(now)}
+	all := []clock.Duration{f.Wall.Now().Sub(now)}
 	for _, r := range f.clocks {
 		if now.Sub(r.at) < clockAge {
 			all = append(all, r.offset)
