Duties begin sooner after a loss of the leader; usage waits for those cut off

Only a holder that comes back has to wait out the lease; another waits 1.3 s, for the last call of the one before. A call that was given up on is discarded with its connection, so that it cannot arrive after that. Now the count waits up to 5.5 s for daemons that reported in the last 15 s; those that stop as planned say so.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"swiftbeam/internal/core"
+	"swiftbeam/internal/duty"
 	"swiftbeam/internal/edge"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/setup"
@@ -173,10 +174,7 @@
 	}
 	options := core.Options{Log: log, Clock: c, Decode: platform.DecodeRules, Metrics: registry}
 	if s.Duties.Address != "" {
-		dialer := &net.Dialer{Timeout: time.Second}
-		options.Cloud = &platform.Cloud{Address: s.Duties.Address, HTTP: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		}}
+		options.Cloud = &platform.Cloud{Address: s.Duties.Address, HTTP: duty.NewClient()}
 	}
 	n, err := core.New(s, options)
 	if err != nil {
--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -217,6 +217,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
 	defer cancel()
+	c.desk.tenure.Sent(now)
 	fence := c.desk.tenure.Fence
 	answer, err := c.options.Cloud.Scale(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, o)
 	c.log.Info("replicas ordered", "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas, "serving", have,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	}
 	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: kernel.RandomName(), direct: make(map[string]bool)}
 	c.started = c.clock.Now()
+	c.desk.tenure.Start(c.started)
 	c.SetSeeds(s.Seeds)
 	c.Net = peers.New(peers.Options{Token: s.PeerToken})
 	c.Store = &store.Store{
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -22,6 +22,9 @@
 	entryAge = 2 * clock.Second
 	// usageWait is the time after the end of a window in which entry daemons report it.
 	usageWait = 1500 * clock.Millisecond
+	// lagPart is the part of the time until a report is due, in percent, for which it waits for entry
+	// daemons that are cut off.
+	lagPart = 55
 	// cloudTimeout bounds a call to the cloud.
 	cloudTimeout = clock.Second
 )
@@ -82,7 +85,10 @@
 	for _, w := range r.Msg.GetWindows() {
 		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
 	}
-	d.book.Hear(name+"/"+r.Msg.GetBoot(), windows)
+	d.book.Hear(now, name+"/"+r.Msg.GetBoot(), windows)
+	if r.Msg.GetLast() {
+		d.book.Leave(name + "/" + r.Msg.GetBoot())
+	}
 	samples := make([]moves.Sample, 0, len(r.Msg.GetSamples()))
 	for _, s := range r.Msg.GetSamples() {
 		samples = append(samples, wire.SampleFromPB(s))
@@ -175,7 +181,7 @@
 // maySend reports whether a call to the cloud may leave now.
 func (c *Core) maySend() bool {
 	s := c.Settings.Duties
-	return c.desk.tenure.MaySend(c.clock.Now(), c.Store.Status().ContactAt, duty.Settings{Lease: s.Lease, Thaw: s.Thaw, Contact: ElectionTimeout / 2})
+	return c.desk.tenure.MaySend(c.clock.Now(), c.Store.Status().ContactAt, duty.Settings{Lease: s.Lease, Thaw: s.Thaw, Flight: cloudTimeout, Contact: ElectionTimeout / 2})
 }
 
 // reportUsage records and reports the windows that have ended. Counts are in the log before they
@@ -203,13 +209,16 @@
 	}
 	recorded, ok := c.recorded(number)
 	if !ok {
+		age := c.Follower.TrueTime().Sub(clock.Instant(number+1) * clock.Instant(c.Settings.Duties.UsageWindow))
 		c.mu.Lock()
 		heard := len(c.desk.entries)
+		complete := c.desk.book.Complete(c.clock.Now().Add(-age))
 		counts := c.desk.book.Sum(number)
 		c.mu.Unlock()
-		if heard == 0 {
+		if heard == 0 || !complete && age < lagPart*c.Settings.Duties.UsageDue/100 {
 			return false
 		}
+		c.log.Info("usage counted", "window", number, "complete", complete, "ageMs", int64(age), "entries", heard)
 		if _, err := c.propose(ctx, state.PutUsage{Number: number, Counts: counts}); err != nil {
 			c.log.Info("usage not recorded", "window", number, "error", err.Error())
 			return false
@@ -223,6 +232,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
 	defer cancel()
+	c.desk.tenure.Sent(c.clock.Now())
 	fence := c.desk.tenure.Fence
 	answer, err := c.options.Cloud.Usage(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, recorded)
 	c.log.Info("usage reported", "window", number, "fence", fence, "answer", answer.String(), "error", errorText(err), "accounts", len(recorded.Counts))
--- /dev/null
+++ b/internal/duty/client.go
@@ -0,0 +1,32 @@
+package duty
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// dialTimeout bounds the opening of a connection to the cloud.
+const dialTimeout = time.Second
+
+// NewClient returns a client whose calls end with their contexts: what a call that was given up on
+// has not yet delivered is discarded instead of sent again later, when another holder may have called.
+func NewClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				err = tcp.SetLinger(0)
+			}
+			return conn, errors.Wrap(err, "set linger")
+		},
+	}}
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,9 +1,11 @@
 // Package duty decides when the leader of the core may call the cloud. The cloud does not check
-// fencing numbers, so a new holder waits until no earlier holder can still send, and each holder
-// stops sending soon after it lost the majority:
+// fencing numbers, so a new holder waits until the calls of an earlier one have arrived, each holder
+// stops sending soon after it lost the majority, and one that comes back waits out the lease:
 //
 //	tenure.Begin(now, fence)                        // the log granted the duties
-//	if tenure.MaySend(now, contactAt, settings) { ... }
+//	if tenure.MaySend(now, contactAt, settings) {
+//		tenure.Sent(now)
+//	}
 package duty
 
 import "swiftbeam/pkg/clock"
@@ -40,6 +42,8 @@
 	Lease clock.Duration
 	// Thaw is the time in which a call of a holder that stood still may still arrive.
 	Thaw clock.Duration
+	// Flight is the longest time for which a call is on its way.
+	Flight clock.Duration
 	// Contact is the age of the last contact with a majority up to which a holder sends. It is
 	// below the election timeout, so that a holder stops before another can be elected.
 	Contact clock.Duration
@@ -49,19 +53,33 @@
 type Tenure struct {
 	Fence   uint64
 	BeganAt clock.Instant
+	// sentAt is the last call of any tenure of this process, or its start: what the process before it
+	// on this VM sent is not known.
+	sentAt clock.Instant
+	// resumed tells that others may have sent since sentAt.
+	resumed bool
 }
 
+// Start notes when the process started.
+func (t *Tenure) Start(now clock.Instant) { t.sentAt, t.resumed = now, true }
+
 // Begin notes that the log granted the duties with a fencing number.
 func (t *Tenure) Begin(now clock.Instant, fence uint64) {
 	if t.Fence != fence {
-		*t = Tenure{Fence: fence, BeganAt: now}
+		t.Fence, t.BeganAt, t.resumed = fence, now, true
 	}
 }
 
 // End notes that the duties are lost.
-func (t *Tenure) End() { *t = Tenure{} }
+func (t *Tenure) End() { t.Fence, t.BeganAt = 0, 0 }
+
+// Sent notes a call.
+func (t *Tenure) Sent(now clock.Instant) { t.sentAt, t.resumed = now, false }
 
 // MaySend reports whether the holder may send now. ContactAt is its last contact with a majority.
 func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
-	return t.Fence != 0 && now.Sub(t.BeganAt) >= s.Lease+s.Thaw && now.Sub(contactAt) <= s.Contact
+	if t.Fence == 0 || now.Sub(t.BeganAt) < s.Flight+s.Thaw || now.Sub(contactAt) > s.Contact {
+		return false
+	}
+	return !t.resumed || now.Sub(t.sentAt) >= s.Lease+s.Thaw
 }
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -9,7 +9,7 @@
 // TestHoldersDoNotTakeTurns plays two daemons between which the lead goes back and forth, with a
 // majority that each loses sight of, and looks at the order of their calls.
 func TestHoldersDoNotTakeTurns(t *testing.T) {
-	s := Settings{Lease: 3 * clock.Second, Thaw: 300, Contact: 300}
+	s := Settings{Lease: 3 * clock.Second, Thaw: 300, Flight: 1000, Contact: 300}
 	var tenures [2]Tenure
 	fence := uint64(0)
 	type call struct {
@@ -30,6 +30,7 @@
 		contact[leader] = now
 		for i := range tenures {
 			if tenures[i].MaySend(now, contact[i], s) {
+				tenures[i].Sent(now)
 				calls = append(calls, call{at: now, holder: i, fence: tenures[i].Fence})
 			}
 		}
@@ -50,3 +51,32 @@
 		lastOf[c.holder] = c.at
 	}
 }
+
+// TestNewHolderBeginsSoon lets a daemon that never held the duties begin when the calls of the one
+// before it have arrived, and one that just lost them wait for the lease.
+func TestNewHolderBeginsSoon(t *testing.T) {
+	s := Settings{Lease: 3 * clock.Second, Thaw: 300, Flight: 1000, Contact: 300}
+	var fresh, back Tenure
+	fresh.Start(-60_000)
+	back.Start(-60_000)
+	back.Begin(-50_000, 1)
+	back.Sent(-100)
+	back.End()
+	fresh.Begin(0, 2)
+	back.Begin(0, 3)
+	for _, test := range []struct {
+		name   string
+		tenure *Tenure
+		want   clock.Instant
+	}{{"new", &fresh, 1300}, {"back", &back, 3200}} {
+		first := clock.Instant(-1)
+		for now := clock.Instant(0); now < 10_000 && first < 0; now += 100 {
+			if test.tenure.MaySend(now, now, s) {
+				first = now
+			}
+		}
+		if first != test.want {
+			t.Errorf("%s holder: got the first call at %v, want %v", test.name, int64(first), int64(test.want))
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,6 +75,7 @@
 	boot     string
 	seeds    atomic.Pointer[[]string]
 	draining atomic.Bool
+	stopped  atomic.Bool
 	rulesAt  atomic.Int64
 	ready    atomic.Bool
 	work     kernel.Group
@@ -212,6 +213,7 @@
 	kernel.Pause(ctx, leaveRotation)
 	err := e.callers.Shutdown(ctx)
 	e.Front.Wait(ctx)
+	e.stopped.Store(true)
 	e.sendTally(ctx)
 	e.cancel()
 	_ = e.check.Close()
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -137,7 +137,7 @@
 
 // request builds a report.
 func (e *Edge) request() *peerpb.TallyRequest {
-	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot}
+	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot, Last: e.stopped.Load()}
 	for _, s := range e.Front.Samples() {
 		m.Samples = append(m.Samples, wire.SampleToPB(&s))
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -2,8 +2,8 @@
 // daemons count and report; the holder of the duty adds up what all of them reported:
 //
 //	counter.Began(trueTime, "workshop")
-//	book.Hear("entry-1/boot-7", counter.Windows)
-//	counts := book.Sum(number)
+//	book.Hear(now, "entry-1/boot-7", counter.Windows)
+//	if book.Complete(ended) { counts := book.Sum(number) }
 //
 // Reports repeat all recent windows whole, so that a lost report or a new holder loses nothing.
 package usage
@@ -54,13 +54,24 @@
 // Book adds up the reports of all entry daemons. Its owner serialises the calls.
 type Book struct {
 	windows map[uint64]map[string]map[string]uint64
+	heardAt map[string]clock.Instant
 }
 
+const (
+	// travelTime is how long after the end of a window a report may still lack its last requests.
+	travelTime = 300 * clock.Millisecond
+	// goneAfter is the time without a report after which a run of a daemon has ended; it is above
+	// the length of most partitions.
+	goneAfter = 15 * clock.Second
+)
+
 // Hear takes the windows that a run of an entry daemon reported.
-func (b *Book) Hear(run string, windows []Window) {
+func (b *Book) Hear(now clock.Instant, run string, windows []Window) {
 	if b.windows == nil {
 		b.windows = make(map[uint64]map[string]map[string]uint64)
+		b.heardAt = make(map[string]clock.Instant)
 	}
+	b.heardAt[run] = now
 	for _, w := range windows {
 		runs := b.windows[w.Number]
 		if runs == nil {
@@ -71,6 +82,21 @@
 	}
 }
 
+// Leave notes that a run of a daemon ends and has reported all.
+func (b *Book) Leave(run string) { delete(b.heardAt, run) }
+
+// Complete reports whether all daemons that run have reported since a window ended.
+func (b *Book) Complete(ended clock.Instant) bool {
+	for run, at := range b.heardAt {
+		if ended.Sub(at) > goneAfter {
+			delete(b.heardAt, run)
+		} else if at.Before(ended.Add(travelTime)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Sum returns the counts of a window over all runs.
 func (b *Book) Sum(number uint64) map[string]uint64 {
 	total := make(map[string]uint64)
