Revert: the first holder of the duties begins at once

At -9.2 s no backend server had announced itself yet, so the leader took the 18 replicas for none and ordered one a zone; all spot replicas were sold out when it noticed. The wait of 3.3 s after the start of a process is also the time in which all servers announce themselves. Conclusion: reverted; the wait stays.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -56,21 +56,17 @@
 	// sentAt is the last call of any tenure of this process, or its start: what the process before it
 	// on this VM sent is not known.
 	sentAt clock.Instant
-	// resumed tells that others may have sent since sentAt, and first that nobody ever sent.
+	// resumed tells that others may have sent since sentAt.
 	resumed bool
-	first   bool
 }
 
-// firstFence is the number of the first tenure of all.
-const firstFence = 1
-
 // Start notes when the process started.
 func (t *Tenure) Start(now clock.Instant) { t.sentAt, t.resumed = now, true }
 
 // Begin notes that the log granted the duties with a fencing number.
 func (t *Tenure) Begin(now clock.Instant, fence uint64) {
 	if t.Fence != fence {
-		t.Fence, t.BeganAt, t.resumed, t.first = fence, now, true, fence == firstFence
+		t.Fence, t.BeganAt, t.resumed = fence, now, true
 	}
 }
 
@@ -82,13 +78,7 @@
 
 // MaySend reports whether the holder may send now. ContactAt is its last contact with a majority.
 func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
-	if t.Fence == 0 || now.Sub(contactAt) > s.Contact {
-		return false
-	}
-	if t.first {
-		return true
-	}
-	if now.Sub(t.BeganAt) < s.Flight+s.Thaw {
+	if t.Fence == 0 || now.Sub(t.BeganAt) < s.Flight+s.Thaw || now.Sub(contactAt) > s.Contact {
 		return false
 	}
 	return !t.resumed || now.Sub(t.sentAt) >= s.Lease+s.Thaw
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -52,14 +52,11 @@
 	}
 }
 
-// TestNewHolderBeginsSoon lets the first holder of all begin at once, a daemon that never held the
-// duties when the calls of the one before it have arrived, and one that just lost them after the
-// lease.
+// TestNewHolderBeginsSoon lets a daemon that never held the duties begin when the calls of the one
+// before it have arrived, and one that just lost them wait for the lease.
 func TestNewHolderBeginsSoon(t *testing.T) {
 	s := Settings{Lease: 3 * clock.Second, Thaw: 300, Flight: 1000, Contact: 300}
-	var first, fresh, back Tenure
-	first.Start(0)
-	first.Begin(0, 1)
+	var fresh, back Tenure
 	fresh.Start(-60_000)
 	back.Start(-60_000)
 	back.Begin(-50_000, 1)
@@ -71,7 +68,7 @@
 		name   string
 		tenure *Tenure
 		want   clock.Instant
-	}{{"first", &first, 0}, {"new", &fresh, 1300}, {"back", &back, 3200}} {
+	}{{"new", &fresh, 1300}, {"back", &back, 3200}} {
 		first := clock.Instant(-1)
 		for now := clock.Instant(0); now < 10_000 && first < 0; now += 100 {
 			if test.tenure.MaySend(now, now, s) {
