--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -247,7 +247,8 @@
 }
 
 func (e *Edge) takeRules(address string, d *peerpb.Document) {
-	if old := e.Front.Rules(); old != nil && old.Version >= d.GetVersion() {
+	old := e.Front.Rules()
+	if old != nil && old.Version >= d.GetVersion() {
 		return
 	}
 	set, err := e.options.Decode(d.GetText())
@@ -257,13 +258,33 @@
 	}
 	if e.Front.SetRules(set) {
 		e.log.Info("rules in force", "version", set.Version, "from", address, "routes", len(set.Routes), "accounts", len(set.Accounts))
-		for i := range set.Accounts {
-			e.log.Info("quota in force", "account", set.Accounts[i].Name, "rate", set.Accounts[i].Rate, "burst", set.Accounts[i].Burst, "rulesVersion", set.Version)
+		for _, a := range changedQuotas(old, set) {
+			e.log.Info("quota in force", "account", a.Name, "rate", a.Rate, "burst", a.Burst, "rulesVersion", set.Version)
 		}
 		e.rulesAt.CompareAndSwap(0, int64(e.clock.Now()))
 	}
 }
 
+// changedQuotas returns the accounts whose quota is new or differs from the old rules, which may be nil.
+func changedQuotas(old, set *rules.Set) []rules.Account {
+	type limit struct{ rate, burst float64 }
+	known := make(map[string]limit)
+	if old != nil {
+		for i := range old.Accounts {
+			a := &old.Accounts[i]
+			known[a.Name] = limit{a.Rate, a.Burst}
+		}
+	}
+	var changed []rules.Account
+	for i := range set.Accounts {
+		a := &set.Accounts[i]
+		if was, ok := known[a.Name]; !ok || was != (limit{a.Rate, a.Burst}) {
+			changed = append(changed, *a)
+		}
+	}
+	return changed
+}
+
 func (e *Edge) takeServers(list []*peerpb.ServerRecord) {
 	now := e.clock.Now()
 	e.mu.Lock()
