--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -31,7 +31,7 @@
 	// reloadEvery is how often a changed settings file is looked for.
 	reloadEvery = 2 * time.Second
 	// collectPercent trades processor time for memory; daemons keep little and allocate much.
-	collectPercent = 60
+	collectPercent = 25
 	// memoryPercent is the part of the VM's memory at which collections become more frequent.
 	memoryPercent = 80
 )
