--- a/internal/moves/ledger.go
+++ b/internal/moves/ledger.go
@@ -215,8 +215,8 @@
 	From    string
 	To      string
 	Method  Method
-	// SlowMethod compares the rates of slow answers; nil means Method.
-	SlowMethod Method
+	// SlowMargin replaces the margin of a Test for the rates of slow answers where it is above zero.
+	SlowMargin float64
 
 	total   map[Scope]*Tally
 	buckets []bucket
@@ -339,8 +339,9 @@
 }
 
 func (l *Ledger) methodOf(kind int, method Method) Method {
-	if l.SlowMethod != nil && (kind == slowFirst || kind == slowGap) {
-		return l.SlowMethod
+	if t, ok := method.(Test); ok && l.SlowMargin > 0 && (kind == slowFirst || kind == slowGap) {
+		t.Margin = l.SlowMargin
+		return t
 	}
 	return method
 }
--- a/internal/moves/test.go
+++ b/internal/moves/test.go
@@ -36,16 +36,18 @@
 // Suspicion is the weaker test on which a version is paused; a false alarm only delays a move.
 var Suspicion = Test{FalseAlarm: 0.05, Margin: 0.01, Tests: 5}
 
-// ShortJudge, ShortTest and ShortSlow are for moves that are done within seconds. Times are compared
+// ShortJudge, ShortTest and ShortMargin are for moves that are done within seconds. Times are compared
 // with the median, which is known after few requests and stands far from a version that is several
 // times slower; the wider margin is for servers that start with empty caches. One good version in a
 // hundred may be taken back, as few requests have to show a bad one.
 var (
 	ShortJudge = Judge{Slow: 0.5, Tolerance: 2, WarmUp: 10}
 	ShortTest  = Test{FalseAlarm: 1e-2, Margin: 0.01, Tests: 20}
-	ShortSlow  = Test{FalseAlarm: 1e-2, Margin: 0.15, Tests: 20}
 )
 
+// ShortMargin is the difference of the rates of slow answers that is tolerated in short moves.
+const ShortMargin = 0.15
+
 // priorRequests and priorHits keep the old rate from being taken as zero on little evidence.
 const (
 	priorRequests = 20
--- a/internal/moves/watch.go
+++ b/internal/moves/watch.go
@@ -30,7 +30,7 @@
 	}
 	e = &evidence{started: m.Started, ledger: Ledger{Service: m.Service, From: m.From, To: m.To, Method: DefaultTest}}
 	if v.short {
-		e.ledger.Method, e.ledger.SlowMethod = ShortTest, ShortSlow
+		e.ledger.Method, e.ledger.SlowMargin = ShortTest, ShortMargin
 	}
 	if v.all == nil {
 		v.all = make(map[string]*evidence)
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -180,7 +180,7 @@
 func (r *run) ledger(m moves.Method) *moves.Ledger {
 	l := &moves.Ledger{Service: r.Service, From: "old", To: "new", Method: m}
 	if r.short {
-		l.Method, l.SlowMethod = moves.ShortTest, moves.ShortSlow
+		l.Method, l.SlowMargin = moves.ShortTest, moves.ShortMargin
 	}
 	return l
 }
--- a/internal/replay/short_test.go
+++ b/internal/replay/short_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 	"testing"
 
 	"swiftbeam/internal/moves"
@@ -69,26 +67,10 @@
 	return list
 }
 
-// slowRouteCase tells the cases in which one route of four answers slowly within 12 s.
-func slowRouteCase(c *Case) bool { return strings.HasPrefix(c.Name, "slowRoute in 12 s") }
-
 // TestShortRollouts replays rollouts that are done within seconds: good versions finish in time,
 // bad ones are taken back, get a small share, and nothing long after their faults have shown.
 func TestShortRollouts(t *testing.T) {
-	cases := slices.DeleteFunc(shortCases(), slowRouteCase)
-	checkShort(t, RunAll(cases, Options{Short: true}))
-}
-
-// TestSlowRouteInShortRollouts is the same for the cases with the least evidence: some ten answers of
-// the slow route come before the share has to grow.
-func TestSlowRouteInShortRollouts(t *testing.T) {
-	cases := slices.DeleteFunc(shortCases(), func(c *Case) bool { return !slowRouteCase(c) })
-	checkShort(t, RunAll(cases, Options{Short: true}))
-}
-
-func checkShort(t *testing.T, results []Result) {
-	t.Helper()
-	for _, r := range results {
+	for _, r := range RunAll(shortCases(), Options{Short: true}) {
 		if d := r.Difference(); d != "" {
 			t.Errorf("%s: %s (%s)", r.Case.Name, d, r.Evidence)
 		}
