--- a/internal/moves/ledger.go
+++ b/internal/moves/ledger.go
@@ -258,14 +258,27 @@
 
 // Find returns the first fault that the evidence shows, or nil.
 func (l *Ledger) Find() *Finding {
+	method := l.Method
+	if t, ok := method.(Test); ok && l.Faults() >= manyFaults {
+		t.FalseAlarm *= manyAlarm
+		method = t
+	}
 	for _, length := range windows {
-		if f := l.findIn(l.window(length), l.Method); f != nil {
+		if f := l.findIn(l.window(length), method); f != nil {
 			return f
 		}
 	}
 	return nil
 }
 
+const (
+	// manyFaults is the number of faulty answers of the new version from which on a weaker proof is
+	// enough, as each further one hurts a caller; below the fifty after which it must be gone soon.
+	manyFaults = 40
+	// manyAlarm is the factor by which the weaker proof raises the rate of false alarms.
+	manyAlarm = 5
+)
+
 // Suspect returns the first evidence that a weaker test finds, to pause a version on.
 func (l *Ledger) Suspect() *Finding {
 	return l.findIn(l.window(suspectWindow), Suspicion)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// TestBadVersionsAreGoneAfterFifty holds the time from the fiftieth faulty answer to the last request
+// of a bad version to the same target.
+func TestBadVersionsAreGoneAfterFifty(t *testing.T) {
+	for file, cases := range readAll(t) {
+		for _, r := range RunAll(cases, Options{}) {
+			if r.Case.Expect == "rolledBack" && r.After50 > ClearanceTarget {
+				t.Errorf("%s %s: got %v from the fiftieth faulty answer to the last request, want at most %v", file, r.Case.Name, r.After50, ClearanceTarget)
+			}
+		}
+	}
+}
+
 func TestWrittenTraceReadsBack(t *testing.T) {
 	cases := Generate(Deployments[0])
 	cases[0].Requests = []Request{{AtMs: 5, Route: "quick", Account: "a", Old: Answer{FirstTokenMs: 100}, New: Answer{Failed: true}}}
