--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -135,3 +135,33 @@
 		}
 	}
 }
+
+// TestWithdrawnVersionsStayOut starts rollouts one after the other: a version that was taken back is
+// not kept by later ones, one that finished is.
+func TestWithdrawnVersionsStayOut(t *testing.T) {
+	s := &State{}
+	apply := func(b Body) { s.Apply(1, Command{At: 100, Body: b}) }
+	step := func(version string, stage Stage) {
+		apply(StepRollout{MoveStep: MoveStep{Service: "s", Version: version, Revision: s.Rollouts["s"].Revision, Stage: stage, Share: FullShare}})
+	}
+	keeps := func(want map[string]bool) {
+		t.Helper()
+		for version, want := range want {
+			if got := s.Rollouts["s"].Keeps(version); got != want {
+				t.Errorf("rollout of %s in stage %v keeps %s: got %v, want %v", s.Rollouts["s"].To, s.Rollouts["s"].Stage, version, got, want)
+			}
+		}
+	}
+	apply(StartRollout{Service: "s", Target: "v2"})
+	keeps(map[string]bool{"v1": true, "v2": false})
+	step("v2", RolledBack)
+	keeps(map[string]bool{"v1": true, "v2": false})
+	apply(StartRollout{Service: "s", Target: "v3"})
+	keeps(map[string]bool{"v1": true, "v2": false, "v3": false})
+	step("v3", Finished)
+	keeps(map[string]bool{"v1": false, "v2": false, "v3": true})
+	apply(StartRollout{Service: "s", Target: "v2"})
+	keeps(map[string]bool{"v1": true, "v2": false, "v3": true})
+	step("v2", Finished)
+	keeps(map[string]bool{"v2": true, "v3": false})
+}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -49,7 +49,7 @@
 func drawBody(t *rapid.T) state.Body {
 	word := func(name string) string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, name)) }
 	key := state.OnceKey{Account: "a", Route: "r", Key: word("key")}
-	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
 	case 0:
 		move := ""
 		if rapid.Bool().Draw(t, "moves") {
@@ -65,6 +65,17 @@
 		return state.MoveStep{Service: "s" + word("section"), Version: "v2", Revision: uint64(rapid.IntRange(1, 3).Draw(t, "revision")), Stage: state.Stage(rapid.IntRange(0, 6).Draw(t, "stage")), Share: 200, Faults: 3}
 	case 4:
 		return state.TakeOrder{Operation: word("order"), Holder: word("holder"), Kind: state.StartVM}
+	case 5:
+		return state.PutRules{Version: uint64(rapid.IntRange(1, 9).Draw(t, "rules")), Text: []byte(word("text"))}
+	case 6:
+		return state.PutUsage{Number: uint64(rapid.IntRange(1, 99).Draw(t, "window")), Counts: map[string]uint64{"a": uint64(rapid.IntRange(0, 9).Draw(t, "count"))}}
+	case 7:
+		return state.StartRollout{Service: "s" + word("section"), Target: "v" + word("version"), At: 100, FinishBy: 12_100}
+	case 8:
+		return state.StepRollout{At: 200, Trial: rapid.IntRange(0, 9).Draw(t, "trial"), MoveStep: state.MoveStep{
+			Service: "s" + word("section"), Version: "v" + word("version"), Revision: uint64(rapid.IntRange(1, 3).Draw(t, "revision")),
+			Stage: state.Stage(rapid.IntRange(0, 6).Draw(t, "stage")), Share: 200, Faults: 3,
+		}}
 	}
 	return state.EndOrder{Operation: word("order"), Fence: uint64(rapid.IntRange(0, 3).Draw(t, "fence")), Done: true}
 }
