Crashed servers stop counting as replicas after 8 s

There five servers crash at 9.4 s and come back under other names; the leader counted the silent records among the replicas that serve for two minutes, so that after two zones were reclaimed at 13 and 19 s it saw 5 more than there were, and ordered none on demand while spot was sold out.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"swiftbeam/internal/duty"
-	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/kernel"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/scale"
@@ -22,6 +21,9 @@
 	assertEvery = 8 * clock.Second
 	// bootSlack is the time beyond the boot time in which an ordered replica is still expected.
 	bootSlack = 2 * clock.Second
+	// silentFor is how long a server that no longer announces itself counts as one that serves: the
+	// time after which it counts as silent and a partition of some seconds.
+	silentFor = 8 * clock.Second
 	// longDemand and shortDemand are the spans over which demand is averaged; the larger counts.
 	longDemand  = 12 * clock.Second
 	shortDemand = 3 * clock.Second
@@ -171,8 +173,9 @@
 		}
 		return 1
 	})
+	now := c.clock.Now()
 	for _, r := range c.table.ByID {
-		if r.Service != s.Name || r.State > enrol.Silent || rollout != nil && !rollout.Keeps(r.Version) {
+		if r.Service != s.Name || !c.table.Counts(r, now, silentFor) || rollout != nil && !rollout.Keeps(r.Version) {
 			continue
 		}
 		for i := range zones {
@@ -185,7 +188,7 @@
 	}
 	for i := range zones {
 		last := m.ordered[place{zone: zones[i].Name, spot: true}]
-		if last.at > 0 && c.clock.Now().Sub(last.at) < s.Scaling.Boot+bootSlack {
+		if last.at > 0 && now.Sub(last.at) < s.Scaling.Boot+bootSlack {
 			zones[i].SpotComing = max(last.count-zones[i].Spot, 0)
 		}
 	}
--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -133,6 +133,16 @@
 	return all
 }
 
+// Counts reports whether a server is there, as far as is known: it is ready, or silent for less than
+// patience, and no other has started at its address since.
+func (t *Table) Counts(r *Record, now clock.Instant, patience clock.Duration) bool {
+	last := t.latest[r.Address]
+	if last.born != r.Born || last.id != r.ID {
+		return false
+	}
+	return r.State == Ready || r.State == Silent && now.Sub(r.HeardAt) <= patience
+}
+
 // Expire marks the servers silent that were last heard before since, and returns them. Records
 // that end a server are dropped after TombstoneFor.
 func (t *Table) Expire(now, since clock.Instant) []*Record {
