--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -1,9 +1,10 @@
 // Package moves decides version moves: how much traffic a new version gets, when a stage has
 // passed, and when the version is withdrawn.
 //
-//	brake.Observe(now, observation)          // on each daemon
-//	version := moves.Pick(move, draw, braked)
-//	step := moves.Decide(now, move, inputs)  // on the leader
+//	fault := watch.Observe(now, move, observation)  // on each daemon
+//	version := watch.Pick(move, "luthier-model", ask)
+//	board.Hear(now, "daemon-1", samples, moveOf)     // on the leader
+//	step, ok := moves.Decide(now, move, board.Judge(move, routes, inputs))
 //
 // The evidence compares the new with the old version on the same route at the same time. Each
 // kind of fault is a yes or no for each request: failed, slow to the first token, slow between
