A leader counts its contact from when it sent what was answered

It had stood still until 9.949 s; answers of the other voters to heartbeats from before that waited in its sockets, and the leader took their arrival for contact with a quorum now, so that it believed for up to 300 ms that it might call. Ruled out: the shorter wait of a new holder; the new one called at 9.015 s, more than the old wait of 3.3 s after its election. The check that makes a leader step down stays as it was.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -25,6 +25,8 @@
 	beatAt   clock.Instant
 	checkAt  clock.Instant
 	heardAt  clock.Instant
+	// now is the instant of the last step.
+	now      clock.Instant
 	noopAt   uint64
 	random   uint64
 	transfer ID
@@ -37,10 +39,12 @@
 
 // progress is what a leader knows of another member.
 type progress struct {
-	next       uint64
-	match      uint64
-	heardAt    clock.Instant
-	snapshotAt clock.Instant
+	next    uint64
+	match   uint64
+	heardAt clock.Instant
+	// confirmedAt is when the newest message was sent that the member answered.
+	confirmedAt clock.Instant
+	snapshotAt  clock.Instant
 }
 
 // New returns a member with an empty log. It stays a follower until a leader tells it of the
@@ -84,6 +88,7 @@
 
 // Step takes one event. The actions accumulate until Take.
 func (c *Core) Step(now clock.Instant, e Event) {
+	c.now = now
 	switch e := e.(type) {
 	case Tick:
 		c.tick(now)
@@ -120,12 +125,13 @@
 func (c *Core) FirstIndex() uint64 { return c.log.base.Index + 1 }
 
 // ContactAt returns the last instant at which this member was in contact with a quorum, as the
-// leader or through it.
+// leader or through it. The leader counts from when it sent what was answered: answers that waited
+// while it stood still tell nothing about the present.
 func (c *Core) ContactAt() clock.Instant {
 	if c.Role != Leader {
 		return c.heardAt
 	}
-	return c.quorumHeardAt()
+	return c.quorumAt(func(p *progress) clock.Instant { return p.confirmedAt })
 }
 
 func (c *Core) tick(now clock.Instant) {
@@ -206,7 +212,7 @@
 func (c *Core) answerStale(m Message) {
 	switch m.Kind {
 	case Append, Install:
-		c.send(Message{Kind: AppendReply, To: m.From, Reject: true, Hint: c.log.last()})
+		c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Reject: true, Hint: c.log.last()})
 	case PreVote:
 		c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
 	}
@@ -226,26 +232,26 @@
 func (c *Core) onAppend(now clock.Instant, m Message) {
 	c.followLeader(now, m.From)
 	if m.Index < c.Commit {
-		c.send(Message{Kind: AppendReply, To: m.From, Index: c.Commit})
+		c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Index: c.Commit})
 		return
 	}
 	term, ok := c.log.term(m.Index)
 	if !ok || term != m.LogTerm {
 		hint := min(m.Index-1, c.log.last())
-		c.send(Message{Kind: AppendReply, To: m.From, Reject: true, Index: m.Index, Hint: max(hint, c.Commit)})
+		c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Reject: true, Index: m.Index, Hint: max(hint, c.Commit)})
 		return
 	}
 	last := m.Index + uint64(len(m.Entries))
 	c.append(c.log.unknown(m.Entries))
 	c.commitTo(min(m.Commit, last))
-	c.send(Message{Kind: AppendReply, To: m.From, Index: last})
+	c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Index: last})
 }
 
 func (c *Core) onInstall(now clock.Instant, m Message) {
 	c.followLeader(now, m.From)
 	snap := m.Snapshot
 	if snap.Index <= c.Commit {
-		c.send(Message{Kind: AppendReply, To: m.From, Index: c.Commit})
+		c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Index: c.Commit})
 		return
 	}
 	c.out.Append = nil
@@ -254,7 +260,7 @@
 	c.log = entryLog{base: *snap}
 	c.Commit = snap.Index
 	c.rescanMembers()
-	c.send(Message{Kind: AppendReply, To: m.From, Index: snap.Index})
+	c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Index: snap.Index})
 }
 
 func (c *Core) followLeader(now clock.Instant, leader ID) {
--- a/internal/quorum/doc.go
+++ b/internal/quorum/doc.go
@@ -110,6 +110,8 @@
 	Snapshot *Snapshot
 	// Force asks for a vote although a leader is alive; set when that leader asked to hand over.
 	Force bool
+	// Sent is the leader's clock when it sent an append, and comes back with the reply.
+	Sent clock.Instant
 }
 
 // Event is an input of Core.
--- a/internal/quorum/lead.go
+++ b/internal/quorum/lead.go
@@ -32,17 +32,18 @@
 }
 
 func (c *Core) heardByQuorum(now clock.Instant) bool {
-	return now.Sub(c.quorumHeardAt()) <= c.Settings.ElectionTimeout
+	return now.Sub(c.quorumAt(func(p *progress) clock.Instant { return p.heardAt })) <= c.Settings.ElectionTimeout
 }
 
-// quorumHeardAt returns the latest instant since which a majority of the voters answered.
-func (c *Core) quorumHeardAt() clock.Instant {
+// quorumAt returns the latest instant that a majority of the voters reached; this member reached the
+// present.
+func (c *Core) quorumAt(of func(*progress) clock.Instant) clock.Instant {
 	var heard []clock.Instant
 	for _, id := range c.voters() {
 		if id == c.Settings.Self {
 			heard = append(heard, c.heardAt)
 		} else if p := c.peers[id]; p != nil {
-			heard = append(heard, p.heardAt)
+			heard = append(heard, of(p))
 		}
 	}
 	if len(heard) == 0 {
@@ -58,7 +59,7 @@
 	for _, m := range c.members {
 		known[m.ID] = true
 		if m.ID != c.Settings.Self && c.peers[m.ID] == nil {
-			c.peers[m.ID] = &progress{next: c.log.last() + 1, heardAt: c.heardAt}
+			c.peers[m.ID] = &progress{next: c.log.last() + 1, heardAt: c.heardAt, confirmedAt: c.heardAt}
 		}
 	}
 	for id := range c.peers {
@@ -93,7 +94,7 @@
 	term, _ := c.log.term(p.next - 1)
 	c.send(Message{
 		Kind: Append, To: to, Index: p.next - 1, LogTerm: term,
-		Commit: c.Commit, Entries: slices.Clone(entries),
+		Commit: c.Commit, Entries: slices.Clone(entries), Sent: c.now,
 	})
 	p.next += uint64(len(entries))
 }
@@ -105,7 +106,7 @@
 	}
 	p.snapshotAt = c.heardAt.Add(snapshotRetries * c.Settings.ElectionTimeout)
 	base := c.log.base
-	c.send(Message{Kind: Install, To: to, Snapshot: &base})
+	c.send(Message{Kind: Install, To: to, Snapshot: &base, Sent: c.now})
 }
 
 // snapshotRetries is the pause between two transfers of a snapshot, in election timeouts.
@@ -117,6 +118,7 @@
 		return
 	}
 	p.heardAt = now
+	p.confirmedAt = max(p.confirmedAt, m.Sent)
 	if m.Reject {
 		p.next = max(min(m.Hint+1, c.log.last()+1), p.match+1)
 		c.needBeat, c.needLearners = true, true
--- a/internal/wire/quorum.go
+++ b/internal/wire/quorum.go
@@ -11,6 +11,7 @@
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/wire/peerpb"
+	"swiftbeam/pkg/clock"
 )
 
 // EncodeEntry returns the durable form of a log entry.
@@ -54,7 +55,7 @@
 	e := &peerpb.Envelope{
 		Kind: uint32(m.Kind), From: string(m.From), To: string(m.To), Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit,
-		Reject: m.Reject, Hint: m.Hint, Force: m.Force,
+		Reject: m.Reject, Hint: m.Hint, Force: m.Force, Sent: int64(m.Sent),
 	}
 	for _, entry := range m.Entries {
 		e.Entries = append(e.Entries, entryToPB(entry))
@@ -70,7 +71,7 @@
 	m := quorum.Message{
 		Kind: quorum.MessageKind(e.GetKind()), From: quorum.ID(e.GetFrom()), To: quorum.ID(e.GetTo()),
 		Term: e.GetTerm(), Index: e.GetIndex(), LogTerm: e.GetLogTerm(), Commit: e.GetCommit(),
-		Reject: e.GetReject(), Hint: e.GetHint(), Force: e.GetForce(),
+		Reject: e.GetReject(), Hint: e.GetHint(), Force: e.GetForce(), Sent: clock.Instant(e.GetSent()),
 	}
 	if m.Kind > quorum.TimeoutNow {
 		return m, malformed("message kind %d", m.Kind)
