--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -72,13 +72,7 @@
 	if _, err := c.propose(ctx, state.Barrier{}); err != nil {
 		return state.Rollout{}, err
 	}
-	var found *state.Rollout
-	c.Store.View(func(s *state.State) {
-		if r := s.Rollouts[service]; r != nil {
-			copied := *r
-			found = &copied
-		}
-	})
+	found := c.rollout(service)
 	if found == nil {
 		return state.Rollout{}, fault.New(fault.Missing, "no rollout of service %q", service).Remedy("start one")
 	}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -89,11 +89,7 @@
 	if r.Msg.GetLast() {
 		d.book.Leave(name + "/" + r.Msg.GetBoot())
 	}
-	samples := make([]moves.Sample, 0, len(r.Msg.GetSamples()))
-	for _, s := range r.Msg.GetSamples() {
-		samples = append(samples, wire.SampleFromPB(s))
-	}
-	d.board.Hear(c.Follower.TrueTime(), name+"/"+r.Msg.GetBoot(), samples, c.move)
+	d.board.Hear(c.Follower.TrueTime(), name+"/"+r.Msg.GetBoot(), wire.SamplesFromPB(r.Msg.GetSamples()), c.move)
 	d.hearDemand(now, name+"/"+r.Msg.GetBoot(), r.Msg.GetDemands())
 	return connect.NewResponse(c.answer(now, name, r.Msg, every)), nil
 }
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -12,8 +12,8 @@
 // dialTimeout bounds the opening of a connection to the cloud.
 const dialTimeout = time.Second
 
-// NewClient returns a client whose calls end with their contexts: what a call that was given up on
-// has not yet delivered is discarded instead of sent again later, when another holder may have called.
+// NewClient returns a client whose connections are reset when a call's context ends, so that the
+// kernel does not retransmit the call later, when another holder may have called.
 func NewClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -267,18 +267,14 @@
 
 // changedQuotas returns the accounts whose quota is new or differs from the old rules, which may be nil.
 func changedQuotas(old, set *rules.Set) []rules.Account {
-	type limit struct{ rate, burst float64 }
-	known := make(map[string]limit)
-	if old != nil {
-		for i := range old.Accounts {
-			a := &old.Accounts[i]
-			known[a.Name] = limit{a.Rate, a.Burst}
-		}
-	}
 	var changed []rules.Account
 	for i := range set.Accounts {
 		a := &set.Accounts[i]
-		if was, ok := known[a.Name]; !ok || was != (limit{a.Rate, a.Burst}) {
+		var was *rules.Account
+		if old != nil {
+			was = old.Account(a.Name)
+		}
+		if was == nil || was.Rate != a.Rate || was.Burst != a.Burst {
 			changed = append(changed, *a)
 		}
 	}
--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -10,12 +10,7 @@
 // announcement does not bring them back.
 package enrol
 
-import (
-	"cmp"
-	"slices"
-
-	"swiftbeam/pkg/clock"
-)
+import "swiftbeam/pkg/clock"
 
 //go:generate ../../.tools/stringer -type=State -output=state_string.go
 
@@ -118,29 +113,18 @@
 
 // Usable reports whether new work may go to the server: it is ready and nothing started later
 // at its address.
-func (t *Table) Usable(r *Record) bool {
-	last := t.latest[r.Address]
-	return r.State == Ready && last.born == r.Born && last.id == r.ID
-}
+func (t *Table) Usable(r *Record) bool { return r.State == Ready && t.isLatest(r) }
 
-// All returns the records ordered by ID.
-func (t *Table) All() []*Record {
-	all := make([]*Record, 0, len(t.ByID))
-	for _, r := range t.ByID {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
-	return all
+// isLatest reports whether nothing started later at the server's address.
+func (t *Table) isLatest(r *Record) bool {
+	last := t.latest[r.Address]
+	return last.born == r.Born && last.id == r.ID
 }
 
 // Counts reports whether a server is there, as far as is known: it is ready, or silent for less than
 // patience, and no other has started at its address since.
 func (t *Table) Counts(r *Record, now clock.Instant, patience clock.Duration) bool {
-	last := t.latest[r.Address]
-	if last.born != r.Born || last.id != r.ID {
-		return false
-	}
-	return r.State == Ready || r.State == Silent && now.Sub(r.HeardAt) <= patience
+	return t.isLatest(r) && (r.State == Ready || r.State == Silent && now.Sub(r.HeardAt) <= patience)
 }
 
 // Expire marks the servers silent that were last heard before since, and returns them. Records
--- a/internal/enrol/enrol_test.go
+++ b/internal/enrol/enrol_test.go
@@ -1,7 +1,10 @@
 package enrol
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -38,7 +41,7 @@
 			table.Merge(r)
 		}
 		var got []string
-		for _, r := range table.All() {
+		for _, r := range ordered(table) {
 			if table.Usable(r) {
 				got = append(got, r.ID)
 			}
@@ -97,3 +100,8 @@
 		t.Errorf("got %d records, want none after the tombstone's time", len(table.ByID))
 	}
 }
+
+// ordered returns the records of a table by ID.
+func ordered(t *Table) []*Record {
+	return slices.SortedFunc(maps.Values(t.ByID), func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+}
--- a/internal/front/forward.go
+++ b/internal/front/forward.go
@@ -353,16 +353,7 @@
 // copyHeader passes on the end-to-end headers of an answer.
 func (x *exchange) copyHeader(from http.Header) {
 	h := x.w.Header()
-	for name, values := range from {
-		if !hopByHop[name] {
-			h[name] = values
-		}
-	}
-	for name := range strings.SplitSeq(from.Get("Connection"), ",") {
-		if name = http.CanonicalHeaderKey(strings.TrimSpace(name)); name != "" && name != "Close" && name != "Keep-Alive" {
-			h.Del(name)
-		}
-	}
+	passOn(h, from)
 	if from.Get("Content-Type") == "" {
 		h["Content-Type"] = nil
 	}
@@ -377,17 +368,22 @@
 // EndToEnd returns a copy of the headers that may be passed on.
 func EndToEnd(from http.Header) http.Header {
 	h := make(http.Header, len(from)+4)
+	passOn(h, from)
+	return h
+}
+
+// passOn copies the end-to-end headers of a message.
+func passOn(to, from http.Header) {
 	for name, values := range from {
 		if !hopByHop[name] {
-			h[name] = values
+			to[name] = values
 		}
 	}
 	for _, line := range from["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			h.Del(strings.TrimSpace(name))
+			to.Del(strings.TrimSpace(name))
 		}
 	}
-	return h
 }
 
 // cut ends a stream that has begun so that it does not look complete.
--- a/internal/moves/watch.go
+++ b/internal/moves/watch.go
@@ -1,7 +1,6 @@
 package moves
 
 import (
-	"cmp"
 	"slices"
 
 	"swiftbeam/internal/state"
@@ -168,9 +167,3 @@
 	in.Suspicion, in.Faults = e.ledger.Suspect(), e.ledger.Faults()
 	return in
 }
-
-// Ordered sorts moves by their service.
-func Ordered(list []state.Move) []state.Move {
-	slices.SortFunc(list, func(a, b state.Move) int { return cmp.Compare(a.Service, b.Service) })
-	return list
-}
--- a/internal/pilot/pilot.go
+++ b/internal/pilot/pilot.go
@@ -7,8 +7,10 @@
 package pilot
 
 import (
+	"cmp"
 	"context"
 	"hash/fnv"
+	"slices"
 	"sync"
 
 	"connectrpc.com/connect"
@@ -130,13 +132,9 @@
 
 // Collect takes the report of a daemon.
 func (p *Pilot) Collect(r *peerpb.ReportRequest) {
-	list := make([]moves.Sample, 0, len(r.GetSamples()))
-	for _, s := range r.GetSamples() {
-		list = append(list, wire.SampleFromPB(s))
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.board.Hear(p.Clock.Now(), r.GetDaemon(), list, p.move)
+	p.board.Hear(p.Clock.Now(), r.GetDaemon(), wire.SamplesFromPB(r.GetSamples()), p.move)
 }
 
 func (p *Pilot) round(ctx context.Context) {
@@ -220,7 +218,8 @@
 			}
 		}
 	})
-	return moves.Ordered(list), routes
+	slices.SortFunc(list, func(a, b state.Move) int { return cmp.Compare(a.Service, b.Service) })
+	return list, routes
 }
 
 // Dump is the shown state of a pilot.
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -278,12 +278,16 @@
 	}
 }
 
-// SampleFromPB maps a message to its tally.
-func SampleFromPB(m *peerpb.Sample) moves.Sample {
-	return moves.Sample{
-		Scope: moves.Scope{Service: m.GetService(), Version: m.GetVersion(), Route: m.GetRoute(), Account: m.GetAccount()},
-		Tally: moves.NewTally(m.GetRequests(), m.GetFailed(), m.GetSlowFirst(), m.GetSlowGap(), m.GetShortAnswers()),
+// SamplesFromPB maps messages to their tallies.
+func SamplesFromPB(list []*peerpb.Sample) []moves.Sample {
+	samples := make([]moves.Sample, 0, len(list))
+	for _, m := range list {
+		samples = append(samples, moves.Sample{
+			Scope: moves.Scope{Service: m.GetService(), Version: m.GetVersion(), Route: m.GetRoute(), Account: m.GetAccount()},
+			Tally: moves.NewTally(m.GetRequests(), m.GetFailed(), m.GetSlowFirst(), m.GetSlowGap(), m.GetShortAnswers()),
+		})
 	}
+	return samples
 }
 
 func sectionToPB(s *state.Section) *peerpb.Section {
