Quota: spending of killed daemons, lost replies and regained leaders counted

- A leader keeps its record while its term lasts.
- A new leader assumes that the earlier run of a restarted daemon has spent its part.
- Unspent grants of a killed run count as spent.
- Leases are reserved: a daemon that gets no replies may use its lease while the leader believes that it is connected.
Each report says which lease the daemon has.

Cost: the sums over all daemons are updated with each report and not computed anew. Loads of servers likewise (package loads). Reports that only request quota contain nothing else. Grants ahead of demand are a part of what remains, divided by the daemons, so that pieces too small for a prompt do not use a quota up.

Ruled out: reports processed out of order (sums of spent and unspent only grow), daemons without contact (no lease at the start).

--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -102,11 +102,9 @@
 			}
 		}
 	}
-	for _, e := range c.duties.entries {
-		for _, l := range e.loads {
-			if old[l.GetId()] {
-				in.RunningOld += int(l.GetRequests())
-			}
+	for _, s := range c.duties.loads.All() {
+		if old[s.ID] {
+			in.RunningOld += s.Load.Requests
 		}
 	}
 	return in
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 
 	"connectrpc.com/connect"
 
 	"swiftbeam/internal/duty"
+	"swiftbeam/internal/loads"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
@@ -18,8 +20,6 @@
 // Intervals and timeouts of the leader's duties.
 const (
 	dutyInterval = 250 * clock.Millisecond
-	// entryTimeout is the time without a report after which an entry daemon counts as terminated.
-	entryTimeout = 2 * clock.Second
 	// usageReportDelay is the time after the end of a window that entry daemons have to report it.
 	usageReportDelay = 1500 * clock.Millisecond
 	// incompletePercent is the percentage of the time until a usage report is due during which the
@@ -31,8 +31,10 @@
 
 // dutyState is the state of the leader's duties, built from the reports of entry daemons.
 type dutyState struct {
-	leading        bool
-	entries        map[string]*report
+	// term is the term of the leadership that the state belongs to; zero before the first report.
+	term           uint64
+	loads          loads.Sums
+	totals         sharedLoads
 	allocator      quota.Allocator
 	usageSums      usage.Aggregator
 	tenure         duty.Tenure
@@ -43,12 +45,6 @@
 	reportedWindow uint64
 }
 
-// report is the last report of an entry daemon.
-type report struct {
-	at    clock.Instant
-	loads []*peerpb.ServerLoad
-}
-
 // Watch streams the state to a follower. It implements the Feed service.
 func (c *Core) Watch(ctx context.Context, r *connect.Request[peerpb.WatchRequest], s *connect.ServerStream[peerpb.FeedEvent]) error {
 	return c.Source.Watch(ctx, r, s)
@@ -63,78 +59,106 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	d := &c.duties
-	if !d.leading {
-		// A new leader does not have its predecessor's record of grants and orders, so it starts with
-		// an empty state.
-		d.leading = true
-		d.entries = make(map[string]*report)
-		d.services, d.reportedCounts = nil, nil
-		d.evidence = moves.Aggregator{}
-		d.evidence.SetShortMoves()
-		d.allocator = quota.Allocator{
+	// A leader that was out of contact with the quorum for a while and leads again in the same term
+	// keeps its state, since no other leader can have granted quota in between. A new leader does not
+	// have its predecessor's record of grants and orders, so it starts with an empty state.
+	if term := c.Store.Status().Term; d.term != term {
+		d.lead(term, quota.Allocator{
 			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now,
 			SpendingUnknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
-		}
-	}
-	name := r.Msg.GetName()
-	sinceLastReport := entryTimeout
-	if last := d.entries[name]; last != nil {
-		sinceLastReport = now.Sub(last.at)
-	}
-	d.entries[name] = &report{at: now, loads: r.Msg.GetLoads()}
-	var windows []usage.Window
-	for _, w := range r.Msg.GetWindows() {
-		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
+		})
 	}
-	d.usageSums.Receive(now, name+"/"+r.Msg.GetBoot(), windows)
-	if r.Msg.GetLast() {
-		d.usageSums.RemoveRun(name + "/" + r.Msg.GetBoot())
-	}
-	d.evidence.Receive(c.Follower.ClusterTime(), name+"/"+r.Msg.GetBoot(), wire.SamplesFromPB(r.Msg.GetSamples()), c.move)
-	d.receiveDemand(now, name+"/"+r.Msg.GetBoot(), r.Msg.GetDemands())
-	return connect.NewResponse(c.tallyResponse(now, name, r.Msg, sinceLastReport)), nil
+	return connect.NewResponse(c.receiveReport(now, r.Msg)), nil
+}
+
+// lead resets the state at the start of a leadership.
+func (d *dutyState) lead(term uint64, allocator quota.Allocator) {
+	d.term, d.allocator = term, allocator
+	d.loads, d.totals = loads.Sums{}, sharedLoads{}
+	d.services, d.reportedCounts = nil, nil
+	d.evidence = moves.Aggregator{}
+	d.evidence.SetShortMoves()
 }
 
-func (c *Core) tallyResponse(now clock.Instant, name string, m *peerpb.TallyRequest, sinceLastReport clock.Duration) *peerpb.TallyResponse {
+// receiveReport processes the report of an entry daemon. Its cost does not depend on the number of
+// entry daemons.
+func (c *Core) receiveReport(now clock.Instant, m *peerpb.TallyRequest) *peerpb.TallyResponse {
 	d := &c.duties
+	name, run := m.GetName(), m.GetName()+"/"+m.GetBoot()
 	out := &peerpb.TallyResponse{Leads: true}
-	others := make(map[string]*peerpb.ServerLoad)
-	for entry, last := range d.entries {
-		if now.Sub(last.at) > entryTimeout {
-			delete(d.entries, entry)
-			continue
-		}
-		out.Entries++
-		if entry == name {
-			continue
+	report := quota.Report{Run: run, Last: m.GetLast(), SinceRestart: clock.Duration(m.GetSinceRestartMs())}
+	if !m.GetQuotaOnly() {
+		report.SinceLast = loads.Timeout
+		if last := d.loads.ReportedAt(name); last > 0 {
+			report.SinceLast = now.Sub(last)
 		}
-		for _, l := range last.loads {
-			sum := others[l.GetId()]
-			if sum == nil {
-				sum = &peerpb.ServerLoad{Id: l.GetId()}
-				others[l.GetId()] = sum
-				out.Others = append(out.Others, sum)
-			}
-			sum.Requests += l.GetRequests()
-			sum.Prefill += l.GetPrefill()
-			sum.Memory += l.GetMemory()
+		c.receiveCounts(now, run, m)
+		reported := make([]loads.Server, 0, len(m.GetLoads()))
+		for _, l := range m.GetLoads() {
+			reported = append(reported, wire.LoadFromPB(l))
 		}
+		d.loads.Receive(now, name, reported)
+		out.Others = d.totals.others(now, &d.loads, name)
 	}
+	out.Entries = uint32(d.loads.Daemons(now))
 	set := c.ruleSet.Load()
 	if set == nil {
 		return out
 	}
-	var uses []quota.Use
 	for _, u := range m.GetUses() {
-		uses = append(uses, wire.UseFromPB(u))
+		report.Uses = append(report.Uses, wire.UseFromPB(u))
 	}
 	d.allocator.ExpectedDaemons = c.Source.Entries()
-	for _, g := range d.allocator.Grant(now, set, name+"/"+m.GetBoot(), uses, sinceLastReport) {
+	for _, g := range d.allocator.Grant(now, set, report) {
 		out.Grants = append(out.Grants, wire.GrantToPB(&g))
 	}
 	return out
 }
 
+// receiveCounts processes the usage counts, the evidence and the demand in a report.
+func (c *Core) receiveCounts(now clock.Instant, run string, m *peerpb.TallyRequest) {
+	d := &c.duties
+	var windows []usage.Window
+	for _, w := range m.GetWindows() {
+		windows = append(windows, usage.Window{Number: w.GetNumber(), Counts: w.GetCounts()})
+	}
+	d.usageSums.Receive(now, run, windows)
+	if m.GetLast() {
+		d.usageSums.RemoveRun(run)
+	}
+	d.evidence.Receive(c.Follower.ClusterTime(), run, wire.SamplesFromPB(m.GetSamples()), c.move)
+	d.receiveDemand(now, run, m.GetDemands())
+}
+
+// maxTotalsAgePerDaemon is the age up to which the total loads are sent to several daemons, as a
+// multiple of their number: with few daemons, all replies contain the present loads.
+const maxTotalsAgePerDaemon = 0.3
+
+// sharedLoads contains the messages for the total loads, which many replies share.
+type sharedLoads struct {
+	at       clock.Instant
+	messages []*peerpb.ServerLoad
+	index    map[string]int
+}
+
+// others returns the loads from all daemons but one, which has just reported.
+func (t *sharedLoads) others(now clock.Instant, sums *loads.Sums, name string) []*peerpb.ServerLoad {
+	if t.index == nil || float64(now.Sub(t.at)) > maxTotalsAgePerDaemon*float64(sums.Daemons(now)) {
+		t.at, t.messages, t.index = now, nil, make(map[string]int)
+		for i, s := range sums.All() {
+			t.messages = append(t.messages, wire.LoadToPB(&s))
+			t.index[s.ID] = i
+		}
+	}
+	others := slices.Clone(t.messages)
+	for _, s := range sums.Others(name) {
+		if i, ok := t.index[s.ID]; ok {
+			others[i] = wire.LoadToPB(&s)
+		}
+	}
+	return others
+}
+
 // performDuties acquires the leader's duties from the replicated state, if it does not have them yet,
 // and then reports usage and orders replicas.
 func (c *Core) performDuties(ctx context.Context) {
@@ -145,9 +169,6 @@
 			c.log.Info("duties ended", "fence", d.tenure.Fence)
 		}
 		d.tenure.End()
-		if !c.isLeader() {
-			d.leading = false
-		}
 		c.mu.Unlock()
 		return
 	}
@@ -210,7 +231,7 @@
 	if !ok {
 		age := c.Follower.ClusterTime().Sub(clock.Instant(number+1) * clock.Instant(c.Settings.Duties.UsageWindow))
 		c.mu.Lock()
-		reporting := len(c.duties.entries)
+		reporting := c.duties.loads.Daemons(c.clock.Now())
 		complete := c.duties.usageSums.Complete(c.clock.Now().Add(-age))
 		counts := c.duties.usageSums.Sum(number)
 		c.mu.Unlock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,6 +75,7 @@
 	log             logr.Logger
 	clock           clock.Clock
 	boot            string
+	startedAt       clock.Instant
 	seeds           atomic.Pointer[[]string]
 	draining        atomic.Bool
 	stopped         atomic.Bool
@@ -100,6 +101,7 @@
 	e := &Edge{
 		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), routedServers: make(map[string]*place.Server),
 	}
+	e.startedAt = e.clock.Now()
 	e.SetSeeds(s.Seeds)
 	e.Net = peers.New(peers.Options{Token: s.PeerToken})
 	e.Pool = &pool.Pool{Clock: e.clock}
@@ -217,7 +219,7 @@
 	err := e.callerServer.Shutdown(ctx)
 	e.Proxy.Wait(ctx)
 	e.stopped.Store(true)
-	e.sendReport(ctx)
+	e.sendReport(ctx, nil)
 	e.cancel()
 	_ = e.readinessServer.Close()
 	e.group.Wait()
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"swiftbeam/internal/loads"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/proxy"
 	"swiftbeam/internal/quota"
@@ -33,8 +34,11 @@
 	trigger         chan struct{}
 	mu              sync.Mutex
 	// grantReceived is closed when the leader replies to the next report with grants; nil while no
-	// request waits for a grant.
+	// request waits for a grant. waiting contains the accounts of those requests.
 	grantReceived chan struct{}
+	waiting       map[string]bool
+	// regularAt is the time of the last report that contained more than a request for quota.
+	regularAt clock.Instant
 }
 
 func (e *Edge) runReports(ctx context.Context) {
@@ -48,23 +52,26 @@
 		// A request that waits for a grant needs a report that was built after it started waiting.
 		// Requests that arrive from here on wait for the next report.
 		e.reporter.mu.Lock()
-		grantReceived := e.reporter.grantReceived
-		e.reporter.grantReceived = nil
+		grantReceived, waiting := e.reporter.grantReceived, e.reporter.waiting
+		e.reporter.grantReceived, e.reporter.waiting = nil, nil
 		e.reporter.mu.Unlock()
-		granted := e.sendReport(ctx)
+		granted := e.sendReport(ctx, waiting)
 		if grantReceived != nil && granted {
 			close(grantReceived)
 		} else if grantReceived != nil {
-			e.deferWaiters(grantReceived)
+			e.deferWaiters(grantReceived, waiting)
 		}
 		runner.Pause(ctx, minReportPause)
 	}
 }
 
 // deferWaiters makes requests that wait for a grant wait for the next report as well.
-func (e *Edge) deferWaiters(grantReceived chan struct{}) {
+func (e *Edge) deferWaiters(grantReceived chan struct{}, waiting map[string]bool) {
 	e.reporter.mu.Lock()
 	defer e.reporter.mu.Unlock()
+	for account := range waiting {
+		e.reporter.wait(account)
+	}
 	if e.reporter.grantReceived == nil {
 		e.reporter.grantReceived = grantReceived
 		return
@@ -80,14 +87,22 @@
 // request that waits for quota triggers the next report.
 const minReportPause = 10 * clock.Millisecond
 
+func (r *reporter) wait(account string) {
+	if r.waiting == nil {
+		r.waiting = make(map[string]bool)
+	}
+	r.waiting[account] = true
+}
+
 // requestQuota triggers a report and returns when the leader has granted quota, or after maxWait.
-func (e *Edge) requestQuota(ctx context.Context, maxWait clock.Duration) {
+func (e *Edge) requestQuota(ctx context.Context, account string, maxWait clock.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, maxWait.Std())
 	defer cancel()
 	e.reporter.mu.Lock()
 	if e.reporter.grantReceived == nil {
 		e.reporter.grantReceived = make(chan struct{})
 	}
+	e.reporter.wait(account)
 	grantReceived := e.reporter.grantReceived
 	e.reporter.mu.Unlock()
 	select {
@@ -100,12 +115,15 @@
 	}
 }
 
-// sendReport sends a report to the leader and applies the reply. It reports whether the leader granted
-// quota.
-func (e *Edge) sendReport(ctx context.Context) bool {
+// sendReport sends a report to the leader and applies the reply. With accounts, the report only requests
+// quota for them, unless a complete report is due. It reports whether the leader granted quota.
+func (e *Edge) sendReport(ctx context.Context, accounts map[string]bool) bool {
 	e.reporter.sending.Lock()
 	defer e.reporter.sending.Unlock()
-	report := e.buildReport()
+	if now := e.clock.Now(); len(accounts) == 0 || now.Sub(e.reporter.regularAt) >= reportInterval {
+		accounts, e.reporter.regularAt = nil, now
+	}
+	report := e.buildReport(accounts)
 	leader := e.reporter.leader
 	if leader == "" {
 		leader = e.Follower.Leader()
@@ -130,7 +148,7 @@
 			e.log.Info("reporting to leader", "address", leader)
 		}
 		e.reporter.leader, e.reporter.confirmedLeader = leader, leader
-		e.applyReply(response.Msg)
+		e.applyReply(response.Msg, report.GetQuotaOnly())
 		if len(response.Msg.GetGrants()) > 0 {
 			return true
 		}
@@ -140,40 +158,51 @@
 	return false
 }
 
-// buildReport returns what the leader needs: evidence on rollouts, server loads, demand, quota use and
-// usage counts.
-func (e *Edge) buildReport() *peerpb.TallyRequest {
-	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot, Last: e.stopped.Load()}
-	for _, s := range e.Proxy.Samples() {
-		m.Samples = append(m.Samples, wire.SampleToPB(&s))
+// buildReport returns a report. With accounts, it only requests quota for them; without, it contains all
+// that the leader needs: evidence on rollouts, server loads, demand, quota use and usage counts.
+func (e *Edge) buildReport(accounts map[string]bool) *peerpb.TallyRequest {
+	now := e.clock.Now()
+	m := &peerpb.TallyRequest{Name: e.Settings.Name, Boot: e.boot, Last: e.stopped.Load(), QuotaOnly: len(accounts) > 0}
+	if !e.Settings.Found {
+		m.SinceRestartMs = max(int64(now.Sub(e.startedAt)), 1)
 	}
-	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, counter *usage.Counter) {
-		for name, svc := range services {
-			for _, s := range svc.Servers {
-				if s.Local != (place.Load{}) {
-					m.Loads = append(m.Loads, &peerpb.ServerLoad{
-						Id: s.ID, Requests: uint32(max(s.Local.Requests, 0)), Prefill: uint64(max(s.Local.Prefill, 0)), Memory: uint64(max(s.Local.Memory, 0)),
-					})
-				}
-			}
-			m.Demands = append(m.Demands, &peerpb.ServiceDemand{
-				Service: name, Prefill: svc.Prompt, Output: svc.Output, Requests: svc.Requests,
-			})
+	if !m.GetQuotaOnly() {
+		for _, s := range e.Proxy.Samples() {
+			m.Samples = append(m.Samples, wire.SampleToPB(&s))
 		}
-		for _, u := range limiter.TakeReport(e.clock.Now()) {
+	}
+	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, counter *usage.Counter) {
+		for _, u := range limiter.TakeReport(now, accounts) {
 			m.Uses = append(m.Uses, wire.UseToPB(&u))
 		}
-		for _, w := range counter.Windows {
-			counts := make(map[string]uint64, len(w.Counts))
-			for account, n := range w.Counts {
-				counts[account] = n
-			}
-			m.Windows = append(m.Windows, &peerpb.UsageWindow{Number: w.Number, Counts: counts})
+		if !m.GetQuotaOnly() {
+			addCounts(m, services, counter)
 		}
 	})
 	return m
 }
 
+// addCounts adds the loads, the demand and the usage counts to a report.
+func addCounts(m *peerpb.TallyRequest, services map[string]*proxy.ServiceState, counter *usage.Counter) {
+	for name, svc := range services {
+		for _, s := range svc.Servers {
+			if s.Local != (place.Load{}) {
+				m.Loads = append(m.Loads, wire.LoadToPB(&loads.Server{ID: s.ID, Load: s.Local}))
+			}
+		}
+		m.Demands = append(m.Demands, &peerpb.ServiceDemand{
+			Service: name, Prefill: svc.Prompt, Output: svc.Output, Requests: svc.Requests,
+		})
+	}
+	for _, w := range counter.Windows {
+		counts := make(map[string]uint64, len(w.Counts))
+		for account, n := range w.Counts {
+			counts[account] = n
+		}
+		m.Windows = append(m.Windows, &peerpb.UsageWindow{Number: w.Number, Counts: counts})
+	}
+}
+
 // restoreDemand returns the requested quota of a failed report to the limiter, for the next report.
 func (e *Edge) restoreDemand(m *peerpb.TallyRequest) {
 	e.Proxy.WithState(func(_ map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
@@ -183,25 +212,27 @@
 	})
 }
 
-func (e *Edge) applyReply(m *peerpb.TallyResponse) {
+func (e *Edge) applyReply(m *peerpb.TallyResponse, quotaOnly bool) {
 	var grants []quota.Grant
 	for _, g := range m.GetGrants() {
 		grants = append(grants, wire.GrantFromPB(g))
 	}
-	others := make(map[string]*peerpb.ServerLoad, len(m.GetOthers()))
+	others := make(map[string]place.Load, len(m.GetOthers()))
 	for _, l := range m.GetOthers() {
-		others[l.GetId()] = l
+		others[l.GetId()] = wire.LoadFromPB(l).Load
 	}
 	entries := int(max(m.GetEntries(), 1))
 	r := e.Settings.Retries
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
 		limiter.Entries = entries
 		limiter.Receive(e.clock.Now(), grants)
+		if quotaOnly {
+			return
+		}
 		for _, svc := range services {
 			svc.Budget.Slack = retryBudgetFraction * r.Slack / float64(entries)
 			for _, s := range svc.Servers {
-				l := others[s.ID]
-				s.Remote = place.Load{Requests: int(l.GetRequests()), Prefill: int(l.GetPrefill()), Memory: int(l.GetMemory())}
+				s.Remote = others[s.ID]
 			}
 		}
 	})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,9 +107,9 @@
 	Log     logr.Logger
 	// ClusterTime returns the time of day that most daemons agree on.
 	ClusterTime func() clock.Instant
-	// RequestQuota requests a quota grant from the leader without delay. It returns when a grant has
-	// arrived, or after maxWait.
-	RequestQuota func(ctx context.Context, maxWait clock.Duration)
+	// RequestQuota requests a quota grant for an account from the leader without delay. It returns when a
+	// grant has arrived, or after maxWait.
+	RequestQuota func(ctx context.Context, account string, maxWait clock.Duration)
 	Retries      retry.Budget
 	Counts       Counts
 	// ObserveFirstResponse is called with the time to the first event or response of each request;
@@ -458,7 +458,7 @@
 	maxWait := p.limiter.MaxWait(p.Clock.Now())
 	p.mu.Unlock()
 	if !ok && p.RequestQuota != nil {
-		p.RequestQuota(ctx, maxWait)
+		p.RequestQuota(ctx, x.account.Name, maxWait)
 		p.mu.Lock()
 		ok = p.limiter.Spend(p.Clock.Now(), x.account, level, quantity)
 		p.mu.Unlock()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -41,13 +41,13 @@
 		d.now += 50
 		for i, limiter := range d.limiters {
 			if d.connected[i] && step%5 == 0 {
-				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 250))
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 250}))
 			}
 			for range (requests*(step+1))/steps - (requests*step)/steps {
 				limiter.RecordDemand(a, 0, requestTokens)
 				ok := limiter.Spend(d.now, a, 0, requestTokens)
 				if !ok && d.connected[i] {
-					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 50))
+					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 50}))
 					ok = limiter.Spend(d.now, a, 0, requestTokens)
 				}
 				if ok {
@@ -122,7 +122,7 @@
 			for i, limiter := range d.limiters {
 				connected := !stopped && (step < 15 || step >= 15+gap+i/3*4)
 				if connected && (step+i)%5 == 0 {
-					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 250))
+					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 250}))
 				}
 				limiter.RecordDemand(a, 0, requestTokens)
 				if limiter.Spend(d.now, a, 0, requestTokens) {
@@ -188,7 +188,7 @@
 		d.now += 50
 		for i, limiter := range d.limiters {
 			if (step+i)%5 == 0 {
-				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 250))
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 250}))
 			}
 			// In each step one of the daemons receives a small urgent request and two large ones.
 			if step%4 != i {
@@ -202,7 +202,7 @@
 				limiter.RecordDemand(a, level, size)
 				ok := limiter.Spend(d.now, a, level, size)
 				if !ok {
-					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 50))
+					limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 50}))
 					ok = limiter.Spend(d.now, a, level, size)
 				}
 				if ok {
@@ -233,7 +233,7 @@
 		spent := 0.0
 		for i, limiter := range d.limiters {
 			if (step+i)%5 == 0 {
-				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 250))
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 250}))
 			}
 			if (step*7+i*13)%32 != 0 {
 				continue
@@ -242,7 +242,7 @@
 			limiter.RecordDemand(a, 1, size)
 			ok := limiter.Spend(d.now, a, 1, size)
 			if !ok {
-				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, fmt.Sprint(i, "/b"), limiter.TakeReport(d.now), 20))
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: 20}))
 				ok = limiter.Spend(d.now, a, 1, size)
 			}
 			if ok {
@@ -262,3 +262,172 @@
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", sum, float64(allowed))
 	}
 }
+
+// TestQuotaHoldsWhenDaemonsAreKilled sends six times the quota and kills most daemons at the same time,
+// each after it has spent its last grants and before it reports that. They restart within a second.
+// Benchmark run: minik grown, trouble-1.
+func TestQuotaHoldsWhenDaemonsAreKilled(t *testing.T) {
+	const entries = 78
+	d := newDeployment(entries)
+	d.runSecond(0)
+	a := &d.set.Accounts[0]
+	a.Rate, a.Burst = 410_000, 410_000
+	allowed := (a.Rate*8+a.Burst)*1.1 + 140_000
+	boots := make([]int, entries)
+	exchange := func(i int, since clock.Duration) {
+		name := fmt.Sprint(i, "/", boots[i])
+		d.limiters[i].Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: name, Uses: d.limiters[i].TakeReport(d.now, nil), SinceLast: since}))
+	}
+	const killAt, down = 40, 20
+	for step := range 400 {
+		d.now += 50
+		spent := 0.0
+		for i, limiter := range d.limiters {
+			killed := i%5 < 3
+			switch {
+			case killed && step >= killAt && step < killAt+down:
+				continue
+			case killed && step == killAt+down:
+				boots[i]++
+				*limiter = Limiter{Entries: entries, Window: 8 * clock.Second}
+				exchange(i, 2000)
+			case (step+i)%5 == 0:
+				exchange(i, 250)
+			}
+			if step < killAt-4 && (step+i)%16 > 0 || (step+i)%2 > 0 {
+				continue
+			}
+			limiter.RecordDemand(a, 0, requestTokens)
+			ok := limiter.Spend(d.now, a, 0, requestTokens)
+			if !ok {
+				exchange(i, 50)
+				ok = limiter.Spend(d.now, a, 0, requestTokens)
+			}
+			if ok {
+				spent += requestTokens
+			}
+		}
+		d.spent = append(d.spent, spent)
+	}
+	for i := range d.spent {
+		sum := 0.0
+		for _, s := range d.spent[max(0, i-159) : i+1] {
+			sum += s
+		}
+		if sum > allowed {
+			t.Fatalf("window that ends at %d ms: got %.0f tokens in 8 s, want at most %.0f", i*50, sum, allowed)
+		}
+	}
+}
+
+// TestQuotaHoldsWhenRepliesAreLost sends six times the quota while a third of the daemons get no
+// replies of the leader, which still gets their reports. They spend from the last lease they received.
+// Benchmark run: minik grown, trouble-1.
+func TestQuotaHoldsWhenRepliesAreLost(t *testing.T) {
+	const entries = 78
+	d := newDeployment(entries)
+	d.runSecond(0)
+	a := &d.set.Accounts[0]
+	a.Rate, a.Burst = 410_000, 410_000
+	allowed := (a.Rate*8+a.Burst)*1.1 + 140_000
+	for step := range 400 {
+		d.now += 50
+		spent := 0.0
+		lossy := step >= 40 && step < 140
+		for i, limiter := range d.limiters {
+			exchange := func(since clock.Duration) {
+				grants := d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: since})
+				if !lossy || i%3 > 0 {
+					limiter.Receive(d.now, grants)
+				}
+			}
+			if (step+i)%5 == 0 {
+				exchange(250)
+			}
+			if step < 40 && (step+i)%80 > 0 || (step+i)%2 > 0 {
+				continue
+			}
+			limiter.RecordDemand(a, 0, requestTokens)
+			ok := limiter.Spend(d.now, a, 0, requestTokens)
+			if !ok {
+				exchange(50)
+				ok = limiter.Spend(d.now, a, 0, requestTokens)
+			}
+			if ok {
+				spent += requestTokens
+			}
+		}
+		d.spent = append(d.spent, spent)
+	}
+	for i := range d.spent {
+		sum := 0.0
+		for _, s := range d.spent[max(0, i-159) : i+1] {
+			sum += s
+		}
+		if sum > allowed {
+			t.Fatalf("window that ends at %d ms: got %.0f tokens in 8 s, want at most %.0f", i*50, sum, allowed)
+		}
+	}
+}
+
+// TestQuotaHoldsWhenDaemonsAndLeaderRestart sends six times the quota, kills most daemons and elects a
+// new leader when they are back: it has no report of what they spent before.
+func TestQuotaHoldsWhenDaemonsAndLeaderRestart(t *testing.T) {
+	const entries = 78
+	d := newDeployment(entries)
+	d.runSecond(0)
+	a := &d.set.Accounts[0]
+	a.Rate, a.Burst = 410_000, 410_000
+	allowed := (a.Rate*8+a.Burst)*1.1 + 140_000
+	const killAt, down, electedAt = 80, 10, 96
+	restarted := make([]bool, entries)
+	for step := range 400 {
+		d.now += 50
+		if step == electedAt {
+			d.allocator = Allocator{Bounds: d.allocator.Bounds, StartedAt: d.now, ExpectedDaemons: entries}
+		}
+		spent := 0.0
+		for i, limiter := range d.limiters {
+			killed := i%5 < 3
+			if killed && step >= killAt && step < killAt+down {
+				continue
+			}
+			if killed && step == killAt+down {
+				restarted[i] = true
+				*limiter = Limiter{Entries: entries, Window: 8 * clock.Second}
+			}
+			exchange := func(since clock.Duration) {
+				report := Report{Run: fmt.Sprint(i, "/", restarted[i]), Uses: limiter.TakeReport(d.now, nil), SinceLast: since}
+				if restarted[i] {
+					report.SinceRestart = clock.Duration(50*(step-killAt-down) + 50)
+				}
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, report))
+			}
+			if (step+i)%5 == 0 || killed && step == killAt+down {
+				exchange(250)
+			}
+			if (step+i)%2 > 0 {
+				continue
+			}
+			limiter.RecordDemand(a, 0, requestTokens)
+			ok := limiter.Spend(d.now, a, 0, requestTokens)
+			if !ok {
+				exchange(50)
+				ok = limiter.Spend(d.now, a, 0, requestTokens)
+			}
+			if ok {
+				spent += requestTokens
+			}
+		}
+		d.spent = append(d.spent, spent)
+	}
+	for i := range d.spent {
+		sum := 0.0
+		for _, s := range d.spent[max(0, i-159) : i+1] {
+			sum += s
+		}
+		if sum > allowed {
+			t.Fatalf("window that ends at %d ms: got %.0f tokens in 8 s, want at most %.0f", i*50, sum, allowed)
+		}
+	}
+}
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -2,6 +2,8 @@
 
 import (
 	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/loads"
+	"swiftbeam/internal/place"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -33,14 +35,26 @@
 	return r
 }
 
+// LoadToPB returns the message for the load on a server.
+func LoadToPB(l *loads.Server) *peerpb.ServerLoad {
+	return &peerpb.ServerLoad{
+		Id: l.ID, Requests: uint32(max(l.Load.Requests, 0)), Prefill: uint64(max(l.Load.Prefill, 0)), Memory: uint64(max(l.Load.Memory, 0)),
+	}
+}
+
+// LoadFromPB returns the load on a server in a message.
+func LoadFromPB(m *peerpb.ServerLoad) loads.Server {
+	return loads.Server{ID: m.GetId(), Load: place.Load{Requests: int(m.GetRequests()), Prefill: int(m.GetPrefill()), Memory: int(m.GetMemory())}}
+}
+
 // UseToPB returns the message for the use of a quota.
 func UseToPB(u *quota.Use) *peerpb.AccountUse {
-	return &peerpb.AccountUse{Account: u.Account, Wanted: u.Requested[:], Held: u.Unspent[:], Spent: u.Spent}
+	return &peerpb.AccountUse{Account: u.Account, Wanted: u.Requested[:], Held: u.Unspent[:], Spent: u.Spent, Lease: u.Lease}
 }
 
 // UseFromPB returns the use of a quota in a message.
 func UseFromPB(m *peerpb.AccountUse) quota.Use {
-	return quota.Use{Account: m.GetAccount(), Requested: amountsFromPB(m.GetWanted()), Unspent: amountsFromPB(m.GetHeld()), Spent: m.GetSpent()}
+	return quota.Use{Account: m.GetAccount(), Requested: amountsFromPB(m.GetWanted()), Unspent: amountsFromPB(m.GetHeld()), Spent: m.GetSpent(), Lease: m.GetLease()}
 }
 
 // GrantToPB returns the message for a quota grant.
