--- /dev/null
+++ b/internal/dial/dial.go
@@ -0,0 +1,76 @@
+// Package dial opens TCP connections over networks that lose packets, and to VMs that are just starting:
+//
+//	d := dial.Repeater{Timeout: 500 * clock.Millisecond, Dial: dialer.DialContext}
+//	conn, err := d.DialContext(ctx, "tcp4", address)
+//
+// The operating system repeats a lost opening packet only after a second. A Repeater starts another
+// attempt after Interval while the earlier ones go on, and returns the first connection that opens. An
+// attempt that is refused ends the call, as the address has no listener then.
+package dial
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"swiftbeam/pkg/clock"
+)
+
+// Interval is the time after which another attempt starts: several round trips between regions.
+const Interval = 150 * clock.Millisecond
+
+// Func is the type of the DialContext method of a net.Dialer.
+type Func func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Repeater opens connections by repeated attempts. All fields must be set.
+type Repeater struct {
+	// Timeout bounds all attempts together.
+	Timeout clock.Duration
+	Dial    Func
+}
+
+type result struct {
+	conn net.Conn
+	err  error
+}
+
+// DialContext returns the first connection that opens.
+func (r Repeater) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout.Std())
+	results := make(chan result)
+	attempts := 0
+	defer func() {
+		cancel()
+		go discard(results, attempts)
+	}()
+	attempt := func() {
+		attempts++
+		go func() {
+			conn, err := r.Dial(ctx, network, address)
+			results <- result{conn, err}
+		}()
+	}
+	attempt()
+	ticker := time.NewTicker(Interval.Std())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if ctx.Err() == nil {
+				attempt()
+			}
+		case first := <-results:
+			attempts--
+			return first.conn, first.err
+		}
+	}
+}
+
+// discard closes the connections of the remaining attempts.
+func discard(results <-chan result, attempts int) {
+	for range attempts {
+		if r := <-results; r.conn != nil {
+			_ = r.conn.Close()
+		}
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -22,6 +22,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/dial"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/ring"
@@ -76,7 +77,7 @@
 // New returns a Net. Messages sent before Start are dropped.
 func New(o Options) *Net {
 	if o.Dial == nil {
-		o.Dial = (&net.Dialer{Timeout: DeliverTimeout.Std()}).DialContext
+		o.Dial = dial.Repeater{Timeout: DeliverTimeout, Dial: (&net.Dialer{}).DialContext}.DialContext
 	}
 	n := &Net{
 		options: o,
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,6 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/dial"
 	"swiftbeam/pkg/clock"
 )
 
@@ -138,14 +139,14 @@
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
-	d := net.Dialer{Timeout: DialTimeout.Std(), KeepAliveConfig: net.KeepAliveConfig{
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle.Std(), Interval: keepAliveInterval.Std(), Count: keepAliveProbes,
 	}, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout))
 		})
 	}}
-	conn, err := d.DialContext(ctx, "tcp4", address)
+	conn, err := dial.Repeater{Timeout: DialTimeout, Dial: d.DialContext}.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		p.releaseSlot(address)
 		return nil, err
