Duties: calls to the cloud do not wait for each other

Usage reports and the orders of each zone now run side by side, one call outstanding for each; the rate of calls is shared. An order is an absolute number, so that one whose answer is lost is repeated without a second effect.

Test that fails first: TestSlowCloudDelaysNoOtherCall (1 of 6 zones ordered within 400 ms before).

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -151,20 +151,31 @@
 	for i, w := range targets {
 		// The kind that grows is ordered first, so that the zone does not fall below its minimum in
 		// between.
-		kinds := []duty.Order{{Service: s.Name, Zone: w.Zone, Replicas: w.Spot, Spot: true}, {Service: s.Name, Zone: w.Zone, Replicas: w.OnDemand}}
+		orders := []zoneOrder{
+			{Order: duty.Order{Service: s.Name, Zone: w.Zone, Replicas: w.Spot, Spot: true}, present: zones[i].Spot},
+			{Order: duty.Order{Service: s.Name, Zone: w.Zone, Replicas: w.OnDemand}, present: zones[i].OnDemand},
+		}
 		if w.OnDemand > zones[i].OnDemand {
-			slices.Reverse(kinds)
+			slices.Reverse(orders)
 		}
-		for _, o := range kinds {
-			present := zones[i].OnDemand
-			if o.Spot {
-				present = zones[i].Spot
-			}
-			c.sendOrder(ctx, m, o, present, required)
+		orders = slices.DeleteFunc(orders, func(o zoneOrder) bool { return !c.isDue(m, o) })
+		if len(orders) == 0 {
+			continue
 		}
+		c.startCall(s.Name+"/"+w.Zone, func() {
+			for _, o := range orders {
+				c.sendOrder(ctx, m, o, required)
+			}
+		})
 	}
 }
 
+// zoneOrder is an order with the number of replicas that are present.
+type zoneOrder struct {
+	duty.Order
+	present int
+}
+
 // zones counts the replicas of a service in each zone, without those of versions that are removed
 // when the rollout ends.
 func (c *Core) zones(s *rules.Service, rollout *state.Rollout, m *serviceState) []scale.Zone {
@@ -202,34 +213,46 @@
 
 // waitForRate pauses before a call to the cloud to stay within the configured rate.
 func (c *Core) waitForRate(ctx context.Context) {
-	runner.Pause(ctx, clock.Duration(1000/max(c.Settings.Duties.CallsPerSecond, 1)))
+	now := c.clock.Now()
+	c.mu.Lock()
+	at := max(now, c.duties.nextCallAt)
+	c.duties.nextCallAt = at.Add(clock.Duration(1000 / max(c.Settings.Duties.CallsPerSecond, 1)))
+	c.mu.Unlock()
+	runner.Pause(ctx, at.Sub(now))
 }
 
-// sendOrder sends an order if it differs from the last one, or repeats it if the effect is not visible.
-func (c *Core) sendOrder(ctx context.Context, m *serviceState, o duty.Order, present, required int) {
+// isDue reports whether an order differs from the last one, or has to be repeated because its effect is
+// not visible.
+func (c *Core) isDue(m *serviceState, o zoneOrder) bool {
 	now := c.clock.Now()
-	at := replicaKind{zone: o.Zone, spot: o.Spot}
-	last, known := m.ordered[at]
-	if !known && present == o.Replicas {
-		return
-	}
-	if known && last.count == o.Replicas && (present == o.Replicas || now.Sub(last.at) < repeatInterval) {
-		return
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last, known := m.ordered[replicaKind{zone: o.Zone, spot: o.Spot}]
+	if !known && o.present == o.Replicas {
+		return false
 	}
-	if o.Spot && o.Replicas > present && m.soldOutUntil[o.Zone].After(now) {
-		return
+	if known && last.count == o.Replicas && (o.present == o.Replicas || now.Sub(last.at) < repeatInterval) {
+		return false
 	}
+	return !o.Spot || o.Replicas <= o.present || !m.soldOutUntil[o.Zone].After(now)
+}
+
+// sendOrder sends an order.
+func (c *Core) sendOrder(ctx context.Context, m *serviceState, o zoneOrder, required int) {
 	c.waitForRate(ctx)
-	if !c.maySend() {
+	now := c.clock.Now()
+	fence, ok := c.beginCall()
+	if !ok {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
 	defer cancel()
-	c.duties.tenure.Sent(now)
-	fence := c.duties.tenure.Fence
-	answer, err := c.options.Cloud.Scale(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, o)
-	c.log.Info("replicas ordered", "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas, "serving", present,
-		"need", required, "fence", fence, "answer", answer.String(), "error", errorText(err))
+	answer, err := c.options.Cloud.Scale(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, o.Order)
+	c.log.Info("replicas ordered", "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas, "serving", o.present,
+		"need", required, "fence", fence, "answer", answer.String(), "tookMs", int64(c.clock.Now().Sub(now)), "error", errorText(err))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at := replicaKind{zone: o.Zone, spot: o.Spot}
 	switch answer {
 	case duty.Accepted:
 		m.ordered[at] = acceptedOrder{count: o.Replicas, at: now}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -36,6 +36,14 @@
 type recordingCloud struct {
 	mu    sync.Mutex
 	calls []usageCall
+	// orders are the replica orders with the times at which they arrived; each takes orderTime.
+	orders    []replicaOrder
+	orderTime time.Duration
+}
+
+type replicaOrder struct {
+	order duty.Order
+	at    time.Time
 }
 
 type usageCall struct {
@@ -51,8 +59,17 @@
 	return duty.Accepted, nil
 }
 
-func (l *recordingCloud) Scale(context.Context, duty.Holder, duty.Order) (duty.Answer, error) {
-	return duty.Accepted, nil
+func (l *recordingCloud) Scale(ctx context.Context, _ duty.Holder, o duty.Order) (duty.Answer, error) {
+	l.mu.Lock()
+	l.orders = append(l.orders, replicaOrder{order: o, at: time.Now()})
+	wait := l.orderTime
+	l.mu.Unlock()
+	select {
+	case <-time.After(wait):
+		return duty.Accepted, nil
+	case <-ctx.Done():
+		return duty.Failed, ctx.Err()
+	}
 }
 
 // cluster is a group of core daemons on the loopback interface.
@@ -473,3 +490,40 @@
 		t.Errorf("got %v, want a refusal", err)
 	}
 }
+
+// TestSlowCloudDelaysNoOtherCall checks that the orders for different availability zones do not wait for
+// each other when the cloud takes half a second for each, and that no zone has two outstanding calls.
+func TestSlowCloudDelaysNoOtherCall(t *testing.T) {
+	g := newCluster(t, 1)
+	g.cloud.mu.Lock()
+	g.cloud.orderTime = 500 * time.Millisecond
+	g.cloud.mu.Unlock()
+	c := g.cores[g.leader()]
+	prices := map[string]float64{"a": 1, "b": 1, "c": 1, "d": 1, "e": 1, "f": 1}
+	c.ruleSet.Store(&rules.Set{Services: []rules.Service{{Name: "engine", Scaling: &rules.Scaling{Most: 10, SpotPrice: 0.2, ZonePrices: prices}}}})
+	for deadline := time.Now().Add(10 * time.Second); !c.maySend(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("got no duties in 10 s")
+		}
+	}
+	for range 8 {
+		c.orderReplicas(t.Context())
+		time.Sleep(50 * time.Millisecond)
+	}
+	g.cloud.mu.Lock()
+	defer g.cloud.mu.Unlock()
+	zones := make(map[string]int)
+	for _, o := range g.cloud.orders {
+		if o.at.Sub(g.cloud.orders[0].at) < 400*time.Millisecond {
+			zones[o.order.Zone]++
+		}
+	}
+	if got, want := len(zones), len(prices); got != want {
+		t.Errorf("got orders for %d zones within 400 ms, want %d", got, want)
+	}
+	for zone, n := range zones {
+		if n > 1 {
+			t.Errorf("zone %s: got %d outstanding orders, want 1", zone, n)
+		}
+	}
+}
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -41,6 +41,10 @@
 	services       map[string]*serviceState
 	reportedCounts map[string]demandCounts
 	evidence       moves.Aggregator
+	// calling contains the purposes for which calls to the cloud run now.
+	calling map[string]bool
+	// nextCallAt is the time of the next call that the rate of calls allows.
+	nextCallAt clock.Instant
 	// reportedWindow is the number of the last window that the cloud accepted.
 	reportedWindow uint64
 }
@@ -160,29 +164,57 @@
 }
 
 // performDuties acquires the leader's duties from the replicated state, if it does not have them yet,
-// and then reports usage and orders replicas.
+// and then reports usage and orders replicas. It does not wait for the cloud: usage reports and the
+// orders for each availability zone have one call outstanding each, so that none waits for another when
+// the cloud is slow.
 func (c *Core) performDuties(ctx context.Context) {
-	d := &c.duties
 	if !c.isLeader() || c.options.Cloud == nil || c.draining.Load() {
 		c.mu.Lock()
+		defer c.mu.Unlock()
+		d := &c.duties
 		if d.tenure.Fence != 0 {
 			c.log.Info("duties ended", "fence", d.tenure.Fence)
 		}
 		d.tenure.End()
-		c.mu.Unlock()
 		return
 	}
-	if d.tenure.Fence == 0 && !c.acquireDuties(ctx) {
+	if c.fence() == 0 && !c.acquireDuties(ctx) {
 		return
 	}
 	if c.Settings.Duties.Usage {
-		c.reportUsage(ctx)
+		c.startCall("usage", func() { c.reportUsage(ctx) })
 	}
 	if c.Settings.Duties.Scaling {
 		c.orderReplicas(ctx)
 	}
 }
 
+// startCall runs calls to the cloud in the background, unless those for the same purpose still run.
+func (c *Core) startCall(purpose string, calls func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.duties.calling[purpose] {
+		return
+	}
+	if c.duties.calling == nil {
+		c.duties.calling = make(map[string]bool)
+	}
+	c.duties.calling[purpose] = true
+	c.tasks.Go(func() {
+		calls()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.duties.calling, purpose)
+	})
+}
+
+// fence returns the fencing number of the duties; zero if this daemon does not hold them.
+func (c *Core) fence() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.duties.tenure.Fence
+}
+
 // acquireDuties acquires the duties by a commit, which assigns the fencing number.
 func (c *Core) acquireDuties(ctx context.Context) bool {
 	result, err := c.propose(ctx, state.TakeOrder{Operation: "duties", Target: "cloud", Holder: string(c.Store.Self.ID) + "/" + c.boot})
@@ -199,22 +231,45 @@
 
 // maySend reports whether a call to the cloud may be sent now.
 func (c *Core) maySend() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.maySendLocked()
+}
+
+func (c *Core) maySendLocked() bool {
 	s := c.Settings.Duties
 	return c.duties.tenure.MaySend(c.clock.Now(), c.Store.Status().ContactAt, duty.Settings{Lease: s.Lease, MaxPause: s.Thaw, MaxTransit: cloudTimeout, MaxContactAge: ElectionTimeout / 2})
 }
 
+// beginCall records that a call to the cloud is sent now, and returns its fencing number. It reports false
+// if no call may be sent.
+func (c *Core) beginCall() (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.maySendLocked() {
+		return 0, false
+	}
+	c.duties.tenure.Sent(c.clock.Now())
+	return c.duties.tenure.Fence, true
+}
+
 // reportUsage records the usage windows that have ended and reports them to the cloud. Counts are
 // committed before they are sent, so every repeated report contains the same numbers.
 func (c *Core) reportUsage(ctx context.Context) {
 	length := c.Settings.Duties.UsageWindow
 	now := c.Follower.ClusterTime()
+	c.mu.Lock()
+	reported := c.duties.reportedWindow
+	c.mu.Unlock()
 	ended := usage.WindowNumber(now.Add(-usageReportDelay), length)
 	first := usage.WindowNumber(now.Add(-c.Settings.Duties.UsageDue-length), length)
-	for number := max(first, c.duties.reportedWindow+1); number < ended; number++ {
+	for number := max(first, reported+1); number < ended; number++ {
 		if !c.reportWindow(ctx, number) {
 			return
 		}
+		c.mu.Lock()
 		c.duties.reportedWindow = number
+		c.mu.Unlock()
 	}
 	c.mu.Lock()
 	c.duties.usageSums.DropBefore(first - 1)
@@ -247,13 +302,13 @@
 			return false
 		}
 	}
-	if !c.maySend() {
-		return false
-	}
+	c.waitForRate(ctx)
 	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
 	defer cancel()
-	c.duties.tenure.Sent(c.clock.Now())
-	fence := c.duties.tenure.Fence
+	fence, ok := c.beginCall()
+	if !ok {
+		return false
+	}
 	answer, err := c.options.Cloud.ReportUsage(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, recorded)
 	c.log.Info("usage reported", "window", number, "fence", fence, "answer", answer.String(), "error", errorText(err), "accounts", len(recorded.Counts))
 	return answer == duty.Accepted
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -309,7 +309,7 @@
 		}
 		d.spent = append(d.spent, spent)
 	}
-	if got := d.maxOver(160); got > allowed {
+	if got := d.maxBySteps(); got > allowed {
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, allowed)
 	}
 }
@@ -353,7 +353,7 @@
 		}
 		d.spent = append(d.spent, spent)
 	}
-	if got := d.maxOver(160); got > allowed {
+	if got := d.maxBySteps(); got > allowed {
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, allowed)
 	}
 }
@@ -409,7 +409,7 @@
 		}
 		d.spent = append(d.spent, spent)
 	}
-	if got := d.maxOver(160); got > allowed {
+	if got := d.maxBySteps(); got > allowed {
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, allowed)
 	}
 }
@@ -471,13 +471,14 @@
 	if want := 0.8 * Limit(d.allocator.Bounds, a); sum < want {
 		t.Errorf("got %.0f tokens from 8 s to 11 s, want at least %.0f", sum, want)
 	}
-	if got := d.maxOver(160); got > allowed {
+	if got := d.maxBySteps(); got > allowed {
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, float64(allowed))
 	}
 }
 
-// maxOver returns the largest sum of what was spent in n consecutive steps.
-func (d *deployment) maxOver(n int) float64 {
+// maxBySteps returns the largest sum of what was spent in eight seconds of steps of 50 ms.
+func (d *deployment) maxBySteps() float64 {
+	const n = 160
 	most := 0.0
 	for i := range d.spent {
 		sum := 0.0
