Quota: requests wait for a new leader

A request now waits until a leader replies, 1.5 s or a third of its time at most, tries the lease when the daemon may use it, and gets 503 and not 429 if no leader replied. After 3 s without a leader it waits 100 ms.

--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -94,8 +94,8 @@
 	r.waiting[account] = true
 }
 
-// requestQuota triggers a report and returns when the leader has granted quota, or after maxWait.
-func (e *Edge) requestQuota(ctx context.Context, account string, maxWait clock.Duration) {
+// requestQuota triggers a report and reports whether the leader has granted quota within maxWait.
+func (e *Edge) requestQuota(ctx context.Context, account string, maxWait clock.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, maxWait.Std())
 	defer cancel()
 	e.reporter.mu.Lock()
@@ -111,7 +111,9 @@
 	}
 	select {
 	case <-grantReceived:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -107,9 +107,9 @@
 	Log     logr.Logger
 	// ClusterTime returns the time of day that most daemons agree on.
 	ClusterTime func() clock.Instant
-	// RequestQuota requests a quota grant for an account from the leader without delay. It returns when a
-	// grant has arrived, or after maxWait.
-	RequestQuota func(ctx context.Context, account string, maxWait clock.Duration)
+	// RequestQuota requests a quota grant for an account from the leader without delay. It reports whether
+	// the leader has replied within maxWait.
+	RequestQuota func(ctx context.Context, account string, maxWait clock.Duration) bool
 	Retries      retry.Budget
 	Counts       Counts
 	// ObserveFirstResponse is called with the time to the first event or response of each request;
@@ -156,6 +156,8 @@
 	// firstRulesTimeout is how long a request waits for the first rules: well below the time after
 	// which a caller gives up on a request without a response.
 	firstRulesTimeout = 600 * clock.Millisecond
+	// noQuotaRetryAfter is the time within which a leader is usually elected.
+	noQuotaRetryAfter = 500 * clock.Millisecond
 	// noServerRetryAfter is the time within which a crashed server is usually replaced or reachable
 	// again.
 	noServerRetryAfter = 500 * clock.Millisecond
@@ -455,18 +457,45 @@
 	p.mu.Lock()
 	p.limiter.RecordDemand(x.account, level, quantity)
 	ok := p.limiter.Spend(p.Clock.Now(), x.account, level, quantity)
-	maxWait := p.limiter.MaxWait(p.Clock.Now())
 	p.mu.Unlock()
-	if !ok && p.RequestQuota != nil {
-		p.RequestQuota(ctx, x.account.Name, maxWait)
-		p.mu.Lock()
-		ok = p.limiter.Spend(p.Clock.Now(), x.account, level, quantity)
-		p.mu.Unlock()
+	if ok {
+		return true
 	}
-	if !ok {
+	ok, checked := x.awaitQuota(ctx, level, quantity)
+	switch {
+	case ok:
+		return true
+	case checked:
 		x.refuseOverQuota(quota.RetryAfter(x.account, quantity))
+	default:
+		x.refuse("the quota cannot be checked now; retry later", noQuotaRetryAfter)
+	}
+	return false
+}
+
+// awaitQuota requests a grant from the leader and spends it. While the leader does not reply, it waits for
+// the end of the outage or until the lease covers the request. Checked reports whether the leader replied.
+func (x *exchange) awaitQuota(ctx context.Context, level int, quantity float64) (ok, checked bool) {
+	p := x.proxy
+	if p.RequestQuota == nil {
+		return false, true
+	}
+	now := p.Clock.Now()
+	end := now.Add(quota.MaxWait(x.deadline.Sub(now)))
+	for {
+		p.mu.Lock()
+		wait := p.limiter.NextCheck(now)
+		p.mu.Unlock()
+		checked = p.RequestQuota(ctx, x.account.Name, min(wait, end.Sub(now)))
+		now = p.Clock.Now()
+		p.mu.Lock()
+		ok = p.limiter.Spend(now, x.account, level, quantity)
+		long := p.limiter.InLongOutage(now)
+		p.mu.Unlock()
+		if ok || checked || long || !now.Before(end) || ctx.Err() != nil {
+			return ok, checked
+		}
 	}
-	return ok
 }
 
 // quotaLevel returns the quota level of the request within its account. Requests without token counts
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -95,17 +95,23 @@
 	return true
 }
 
-// MaxWait returns how long a request that is not covered may wait: for a grant, or until the daemon
-// may spend from its lease.
-func (l *Limiter) MaxWait(now clock.Instant) clock.Duration {
+// NextCheck returns how long a request that is not covered waits for a grant before it tries to spend
+// again: until the daemon may spend from its lease, or until the outage of the leader has lasted too long
+// to wait for its end. A reply of the leader ends the wait sooner.
+func (l *Limiter) NextCheck(now clock.Instant) clock.Duration {
 	sinceContact := now.Sub(l.ContactAt)
 	switch {
 	case l.ContactAt == 0:
-		return firstContactWait
-	case sinceContact > lateAfter && sinceContact < leaseAfter:
-		return leaseAfter - sinceContact + grantWait/4
+		return outageWait
+	case sinceContact < leaseAfter:
+		return leaseAfter - sinceContact + leaseMargin
 	}
-	return grantWait
+	return max(min(outageWait, maxOutage-sinceContact), grantWait)
+}
+
+// InLongOutage reports whether the leader has not replied for so long that requests do not wait for it.
+func (l *Limiter) InLongOutage(now clock.Instant) bool {
+	return l.ContactAt > 0 && now.Sub(l.ContactAt) >= maxOutage
 }
 
 // SetRules includes all accounts with a quota in the reports, so that the daemon has their leases
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -61,14 +61,14 @@
 	// from its lease; a daemon does so only after leaseAfter without contact.
 	disconnectedAfter = 450 * clock.Millisecond
 	leaseAfter        = 600 * clock.Millisecond
-	// firstContactWait is how long a request waits at a daemon that has not had contact with a leader
-	// yet.
-	firstContactWait = 500 * clock.Millisecond
-	// lateAfter is the time without contact after which the next reply of the leader counts as late. A
-	// request then waits until the daemon may spend from its lease.
-	lateAfter = 350 * clock.Millisecond
-	// grantWait is how long a request waits for a grant while the leader responds.
-	grantWait = 100 * clock.Millisecond
+	// leaseMargin is the time after leaseAfter at which a waiting request tries its lease.
+	leaseMargin = 25 * clock.Millisecond
+	// outageWait is how long a request waits while the leader does not reply: an election, and the time
+	// in which the new leader collects reports. maxOutage is the duration of an outage from which on no
+	// request waits for its end; it then waits for grantWait only.
+	outageWait = 1500 * clock.Millisecond
+	maxOutage  = 3 * clock.Second
+	grantWait  = 100 * clock.Millisecond
 	// collectTime is how long a new leader collects reports before it grants.
 	collectTime = 350 * clock.Millisecond
 	// unreportedFactor is what a daemon that has not reported to a new leader is assumed to have spent,
@@ -141,6 +141,10 @@
 	Scarce bool
 }
 
+// MaxWait returns how long a request may wait in total for a leader that does not reply, given the time
+// that its caller waits.
+func MaxWait(remaining clock.Duration) clock.Duration { return min(outageWait, remaining/3) }
+
 // RetryAfter returns the time after which a refused quantity is likely to be granted.
 func RetryAfter(a *rules.Account, quantity float64) clock.Duration {
 	wait := clock.Duration(1000 * quantity / max(a.Rate, 1))
