Urgency: late requests after punctual ones of their priority

Within a priority, a request that will miss its target in any case is now sent to engines as less urgent. The header's value is twice the priority, plus one for late requests, so that the test of forwarded headers expects 2 and not 1 for priority 1.

Test: TestLateRequestsComeAfterPunctualOnes.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -239,7 +239,7 @@
 		account = x.account.Name
 	}
 	p.Dialect.SetHeaders(h, &x.request, AttemptInfo{
-		Server: server.ID, Account: account, Remaining: x.deadline.Sub(p.Clock.Now()), Urgency: x.urgency(), After: x.lastEvent,
+		Server: server.ID, Account: account, Remaining: x.deadline.Sub(p.Clock.Now()), Urgency: a.urgency(), After: x.lastEvent,
 	})
 	if x.body != nil || x.r.Method == http.MethodPost || x.r.Method == http.MethodPut {
 		h.Set("Content-Length", strconv.Itoa(len(x.body)))
@@ -255,16 +255,26 @@
 // typicalHeadBytes is the usual size of a request's head in bytes.
 const typicalHeadBytes = 768
 
-// urgency returns the request's urgency from 0 to 9. The account's priority, where set, overrides
-// that of the route.
-func (x *exchange) urgency() int {
+// urgency returns the request's urgency from 0 to 9. The account's priority, where set, overrides that of
+// the route. Within a priority, a request that will miss the target of its route in any case comes after
+// those that can meet it.
+func (a *attempt) urgency() int {
+	x := a.exchange
 	priority := x.route.Priority
 	if x.account != nil && x.account.Priority != nil {
 		priority = *x.account.Priority
 	}
-	return min(max(priority, 0), 9)
+	urgency := 2 * max(priority, 0)
+	expected := a.proxy.Clock.Now().Add(clock.Duration(a.choice.Wait))
+	if x.route.Target > 0 && expected.Sub(x.arrived) > x.route.Target {
+		urgency++
+	}
+	return min(urgency, maxUrgency)
 }
 
+// maxUrgency is the urgency of the requests that engines serve last.
+const maxUrgency = 9
+
 // maxResponse is the number of bytes read of a response that is not a stream, which is buffered
 // until it is complete.
 const maxResponse = 8 << 20
