--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -9,6 +9,7 @@
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/moves"
+	"swiftbeam/internal/pace"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/usage"
@@ -35,6 +36,7 @@
 	term           uint64
 	loads          loads.Sums
 	totals         sharedLoads
+	pacer          pace.Pacer
 	allocator      quota.Allocator
 	usageSums      usage.Aggregator
 	tenure         duty.Tenure
@@ -102,8 +104,9 @@
 			reported = append(reported, wire.LoadFromPB(l))
 		}
 		d.loads.Receive(now, name, reported)
-		out.Others = d.totals.others(now, &d.loads, name)
+		out.Others, out.HasOthers = d.totals.others(now, &d.loads, name)
 	}
+	out.PauseMs = int64(d.pacer.Count(now))
 	out.Entries = uint32(d.loads.Daemons(now))
 	set := c.ruleSet.Load()
 	if set == nil {
@@ -134,19 +137,30 @@
 	d.receiveDemand(now, run, m.GetDemands())
 }
 
-// maxTotalsAgePerDaemon is the age up to which the total loads are sent to several daemons, as a
-// multiple of their number: with few daemons, all replies contain the present loads.
-const maxTotalsAgePerDaemon = 0.3
+const (
+	// maxTotalsAgePerDaemon is the age up to which the total loads are sent to several daemons, as a
+	// multiple of their number in milliseconds: with few daemons, all replies contain the present loads.
+	maxTotalsAgePerDaemon = 0.3
+	// totalsIntervalPerServer bounds the size of the replies: the time between two replies with the loads
+	// of all servers to one daemon, in milliseconds for each server.
+	totalsIntervalPerServer = 0.8
+)
 
 // sharedLoads contains the messages for the total loads, which many replies share.
 type sharedLoads struct {
 	at       clock.Instant
 	messages []*peerpb.ServerLoad
 	index    map[string]int
+	// sentAt is the time of the last reply with the loads to each daemon.
+	sentAt map[string]clock.Instant
 }
 
-// others returns the loads from all daemons but one, which has just reported.
-func (t *sharedLoads) others(now clock.Instant, sums *loads.Sums, name string) []*peerpb.ServerLoad {
+// others returns the loads from all daemons but one, which has just reported. It reports false if it is
+// too soon after the last such reply.
+func (t *sharedLoads) others(now clock.Instant, sums *loads.Sums, name string) ([]*peerpb.ServerLoad, bool) {
+	if last, ok := t.sentAt[name]; ok && float64(now.Sub(last)) < totalsIntervalPerServer*float64(len(t.messages)) {
+		return nil, false
+	}
 	if t.index == nil || float64(now.Sub(t.at)) > maxTotalsAgePerDaemon*float64(sums.Daemons(now)) {
 		t.at, t.messages, t.index = now, nil, make(map[string]int)
 		for i, s := range sums.All() {
@@ -154,13 +168,17 @@
 			t.index[s.ID] = i
 		}
 	}
+	if t.sentAt == nil {
+		t.sentAt = make(map[string]clock.Instant)
+	}
+	t.sentAt[name] = now
 	others := slices.Clone(t.messages)
 	for _, s := range sums.Others(name) {
 		if i, ok := t.index[s.ID]; ok {
 			others[i] = wire.LoadToPB(&s)
 		}
 	}
-	return others
+	return others, true
 }
 
 // performDuties acquires the leader's duties from the replicated state, if it does not have them yet,
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -20,6 +20,11 @@
 // Timing of the reports to the leader.
 const (
 	reportInterval = 250 * clock.Millisecond
+	// reportIntervalPerEntry lengthens the interval where there are many entry daemons, in milliseconds
+	// for each of them, up to maxReportInterval, which is below the time after which the leader takes a
+	// daemon for disconnected.
+	reportIntervalPerEntry = 1.1
+	maxReportInterval      = 330 * clock.Millisecond
 	// reportTimeout is several round trips; after it the next report goes to the leader that the
 	// core daemons announce.
 	reportTimeout = 400 * clock.Millisecond
@@ -39,11 +44,15 @@
 	waiting       map[string]bool
 	// regularAt is the time of the last report that contained more than a request for quota.
 	regularAt clock.Instant
+	// interval is the time between complete reports, pause the minimum time between any two.
+	interval clock.Duration
+	pause    clock.Duration
 }
 
 func (e *Edge) runReports(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause, cancel := context.WithTimeout(ctx, reportInterval.Std())
+		interval, minPause := e.reporter.timing()
+		pause, cancel := context.WithTimeout(ctx, interval.Std())
 		select {
 		case <-e.reporter.trigger:
 		case <-pause.Done():
@@ -61,7 +70,7 @@
 		} else if grantReceived != nil {
 			e.deferWaiters(grantReceived, waiting)
 		}
-		runner.Pause(ctx, minReportPause)
+		runner.Pause(ctx, minPause)
 	}
 }
 
@@ -87,6 +96,13 @@
 // request that waits for quota triggers the next report.
 const minReportPause = 10 * clock.Millisecond
 
+// timing returns the interval of complete reports and the minimum pause between any two reports.
+func (r *reporter) timing() (interval, pause clock.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.interval, reportInterval), max(r.pause, minReportPause)
+}
+
 func (r *reporter) wait(account string) {
 	if r.waiting == nil {
 		r.waiting = make(map[string]bool)
@@ -122,7 +138,8 @@
 func (e *Edge) sendReport(ctx context.Context, accounts map[string]bool) bool {
 	e.reporter.sending.Lock()
 	defer e.reporter.sending.Unlock()
-	if now := e.clock.Now(); len(accounts) == 0 || now.Sub(e.reporter.regularAt) >= reportInterval {
+	interval, _ := e.reporter.timing()
+	if now := e.clock.Now(); len(accounts) == 0 || now.Sub(e.reporter.regularAt) >= interval {
 		accounts, e.reporter.regularAt = nil, now
 	}
 	report := e.buildReport(accounts)
@@ -150,7 +167,7 @@
 			e.log.Info("reporting to leader", "address", leader)
 		}
 		e.reporter.leader, e.reporter.confirmedLeader = leader, leader
-		e.applyReply(response.Msg, report.GetQuotaOnly())
+		e.applyReply(response.Msg)
 		if len(response.Msg.GetGrants()) > 0 {
 			return true
 		}
@@ -214,7 +231,7 @@
 	})
 }
 
-func (e *Edge) applyReply(m *peerpb.TallyResponse, quotaOnly bool) {
+func (e *Edge) applyReply(m *peerpb.TallyResponse) {
 	var grants []quota.Grant
 	for _, g := range m.GetGrants() {
 		grants = append(grants, wire.GrantFromPB(g))
@@ -224,15 +241,21 @@
 		others[l.GetId()] = wire.LoadFromPB(l).Load
 	}
 	entries := int(max(m.GetEntries(), 1))
+	e.reporter.mu.Lock()
+	e.reporter.interval = min(clock.Duration(reportIntervalPerEntry*float64(entries)), maxReportInterval)
+	e.reporter.pause = clock.Duration(m.GetPauseMs())
+	e.reporter.mu.Unlock()
 	r := e.Settings.Retries
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
 		limiter.Entries = entries
 		limiter.Receive(e.clock.Now(), grants)
-		if quotaOnly {
+		for _, svc := range services {
+			svc.Budget.Slack = retryBudgetFraction * r.Slack / float64(entries)
+		}
+		if !m.GetHasOthers() {
 			return
 		}
 		for _, svc := range services {
-			svc.Budget.Slack = retryBudgetFraction * r.Slack / float64(entries)
 			for _, s := range svc.Servers {
 				s.Remote = others[s.ID]
 			}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"context"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 	"connectrpc.com/connect"
 
 	"swiftbeam/internal/enrol"
+	"swiftbeam/internal/runner"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
@@ -32,6 +34,9 @@
 	StreamTimeout     = 1500 * clock.Millisecond
 	// batchDelay is how long a change waits for others to be sent in the same event.
 	batchDelay = 5 * clock.Millisecond
+	// pausePerEntry is the pause between two events of a stream for each entry daemon that follows, in
+	// milliseconds.
+	pausePerEntry = 0.3
 )
 
 // SharedState is the replicated state that is sent to followers.
@@ -52,8 +57,12 @@
 	mu       sync.Mutex
 	revision uint64
 	records  map[string]*publishedRecord
-	changed  chan struct{}
-	entries  map[string]int
+	// changes and announcements contain the records in order of their last change and of their last
+	// announcement, the oldest first, so that an event costs as much as the records in it.
+	changes       list.List
+	announcements list.List
+	changed       chan struct{}
+	entries       map[string]int
 }
 
 // publishedRecord is a record with the source's revisions at its last change and last announcement.
@@ -61,6 +70,8 @@
 	record           enrol.Record
 	changeRevision   uint64
 	announceRevision uint64
+	change           *list.Element
+	announcement     *list.Element
 }
 
 // Publish stores a record for the followers. Entry daemons receive it only if it is new or changed,
@@ -75,12 +86,15 @@
 	p := s.records[r.ID]
 	if p == nil {
 		p = &publishedRecord{changeRevision: s.revision}
+		p.change, p.announcement = s.changes.PushBack(p), s.announcements.PushBack(p)
 		s.records[r.ID] = p
 	}
 	p.record = *r
 	p.announceRevision = s.revision
+	s.announcements.MoveToBack(p.announcement)
 	if changed {
 		p.changeRevision = s.revision
+		s.changes.MoveToBack(p.change)
 		s.notifyLocked()
 	}
 }
@@ -89,7 +103,11 @@
 func (s *Source) Remove(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.records, id)
+	if p := s.records[id]; p != nil {
+		s.changes.Remove(p.change)
+		s.announcements.Remove(p.announcement)
+		delete(s.records, id)
+	}
 }
 
 // Notify sends changes of the shared state to all followers.
@@ -119,10 +137,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var records []enrol.Record
-	for _, p := range s.records {
-		if entry && p.changeRevision > since || !entry && p.announceRevision > since {
-			records = append(records, p.record)
+	order := &s.announcements
+	if entry {
+		order = &s.changes
+	}
+	for e := order.Back(); e != nil; e = e.Prev() {
+		p := e.Value.(*publishedRecord)
+		if entry && p.changeRevision <= since || !entry && p.announceRevision <= since {
+			break
 		}
+		records = append(records, p.record)
 	}
 	if s.changed == nil {
 		s.changed = make(chan struct{})
@@ -164,12 +188,19 @@
 		if err := stream.Send(event); err != nil {
 			return err
 		}
+		runner.Pause(ctx, s.pauseBetweenEvents())
 		if !awaitChange(ctx, changed, keepAliveInterval) {
 			return ctx.Err()
 		}
 	}
 }
 
+// pauseBetweenEvents returns how long a follower's stream pauses after an event. It grows with the number
+// of followers, so that a series of changes costs fewer events; a single change is sent without it.
+func (s *Source) pauseBetweenEvents() clock.Duration {
+	return clock.Duration(float64(s.Entries()) * pausePerEntry)
+}
+
 func (s *Source) nextEvent(follower *followerState, entry bool) (*peerpb.FeedEvent, <-chan struct{}) {
 	records, revision, changed := s.changesSince(follower.revision, entry)
 	follower.revision = revision
