Quota: planned restarts are not taken for lost spending

The leader dropped a daemon after its last report, and took the next run of it for one whose predecessor it had no report of; a report that followed the last one counted the spending twice. Half of the quota of each account was taken for spent.

Daemons that reported before are remembered, and reports after the last one are ignored. What an unknown run has spent is assumed from the average of the others, within the old bound.

The tests of the bound hold.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -24,7 +24,8 @@
 	SpendingUnknown bool
 
 	totals map[string]*totals
-	// runs contains the runs of daemons by NAME/BOOT, latest the last run of each daemon by name.
+	// runs contains the runs of daemons by NAME/BOOT, latest the last run of each daemon by name, which
+	// may have ended.
 	runs   map[string]*run
 	latest map[string]*run
 	// connected and lost contain the runs in order of their last report, the oldest first.
@@ -68,6 +69,9 @@
 	daemon     string
 	reportedAt clock.Instant
 	lost       bool
+	// ended is set after the run's last report, or when a later run has reported. Reports that arrive
+	// later are ignored.
+	ended bool
 	holdings   map[string]*holding
 	element    *list.Element
 }
@@ -93,6 +97,9 @@
 func (al *Allocator) Grant(now clock.Instant, set *rules.Set, report Report) []Grant {
 	al.expire(now)
 	r := al.receive(now, report)
+	if r.ended {
+		return nil
+	}
 	collecting := !al.SpendingUnknown && now.Sub(al.StartedAt) < collectTime
 	var grants []Grant
 	for i := range report.Uses {
@@ -200,7 +207,11 @@
 	if !al.SpendingUnknown {
 		missing += al.unknownRuns(now)
 	}
-	return unreportedFactor * limit * min(missing/float64(al.ExpectedDaemons), 1)
+	// A missing run is assumed to have spent up to twice as much as the others did on average.
+	equal := limit / float64(al.ExpectedDaemons)
+	others := t.spent / float64(max(t.holders-len(al.restarted), 1))
+	each := min(unreportedFactor*equal, max(unreportedOthers*others, unreportedMinimum*equal))
+	return each * min(missing, float64(al.ExpectedDaemons))
 }
 
 // unknownRuns returns the number of earlier runs that this leader has no report of, each weighted with
@@ -232,15 +243,20 @@
 // receive returns the record of a run that reports now. An earlier run of the same daemon has ended.
 func (al *Allocator) receive(now clock.Instant, report Report) *run {
 	name := report.Run
+	daemon, _, _ := strings.Cut(name, "/")
+	if last := al.latest[daemon]; last != nil && last.ended && last.name == name {
+		return last
+	}
 	r := al.runs[name]
 	if r == nil {
-		daemon, _, _ := strings.Cut(name, "/")
 		r = &run{name: name, daemon: daemon, holdings: make(map[string]*holding)}
 		if al.runs == nil {
 			al.runs, al.latest = make(map[string]*run), make(map[string]*run)
 		}
 		if earlier := al.latest[daemon]; earlier != nil {
-			al.end(now, earlier)
+			if !earlier.ended {
+				al.end(now, earlier)
+			}
 		} else if report.SinceRestart > 0 && report.SinceRestart < al.Bounds.Window {
 			al.restarted = append(al.restarted, now.Add(-report.SinceRestart))
 		}
@@ -292,6 +308,7 @@
 		t.ended.Add(now, h.unspent)
 	}
 	al.drop(r)
+	r.ended, r.holdings = true, nil
 }
 
 func (al *Allocator) drop(r *run) {
@@ -310,9 +327,6 @@
 		}
 	}
 	delete(al.runs, r.name)
-	if al.latest[r.daemon] == r {
-		delete(al.latest, r.daemon)
-	}
 }
 
 // update brings the totals in line with a holding.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -71,9 +71,12 @@
 	grantWait  = 100 * clock.Millisecond
 	// collectTime is how long a new leader collects reports before it grants.
 	collectTime = 350 * clock.Millisecond
-	// unreportedFactor is what a daemon that has not reported to a new leader is assumed to have spent,
-	// as a multiple of the limit divided by the number of daemons.
-	unreportedFactor = 1.25
+	// unreportedFactor bounds what a run that has not reported to a new leader is assumed to have spent, as
+	// a multiple of the limit divided by the number of daemons. Within that it is unreportedOthers times
+	// the average of the other daemons, at least unreportedMinimum.
+	unreportedFactor  = 1.25
+	unreportedOthers  = 2.0
+	unreportedMinimum = 0.5
 	// earlySpending allows for earlier runs that spent more at the end of the window than at its start.
 	earlySpending = 1.33
 	// unknownInterval is how often the assumed spending of earlier runs is computed anew.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -489,3 +489,64 @@
 	}
 	return most
 }
+
+// TestPlannedRestartsRefuseNothing stops and starts six daemons in turn, two seconds apart, while an
+// account uses half its quota, and elects a new leader in between. A daemon repeats its last report.
+// Benchmark run: cascadia, incident inc-e3c9.
+func TestPlannedRestartsRefuseNothing(t *testing.T) {
+	const entries = 6
+	d := newDeployment(entries)
+	d.allocator.ExpectedDaemons = entries
+	a := &d.set.Accounts[0]
+	startedAt := make([]clock.Instant, entries)
+	boots := make([]int, entries)
+	requests, refused := 0, 0
+	for step := range 500 {
+		d.now += 50
+		if step == 180 {
+			d.allocator = Allocator{Bounds: d.allocator.Bounds, StartedAt: d.now, ExpectedDaemons: entries}
+		}
+		collecting := step >= 180 && step < 190
+		for i, limiter := range d.limiters {
+			exchange := func(since clock.Duration, last bool) {
+				report := Report{Run: fmt.Sprint(i, "/", boots[i]), Uses: limiter.TakeReport(d.now, nil), SinceLast: since, Last: last}
+				if startedAt[i] > 0 {
+					report.SinceRestart = max(d.now.Sub(startedAt[i]), 1)
+				}
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, report))
+			}
+			stopAt := 60 + 40*i
+			switch {
+			case step == stopAt:
+				exchange(250, true)
+				exchange(250, true)
+				continue
+			case step > stopAt && step < stopAt+10:
+				continue
+			case step == stopAt+10:
+				boots[i]++
+				startedAt[i] = d.now
+				*limiter = Limiter{Entries: entries, Window: 8 * clock.Second}
+			}
+			if (step+i)%5 == 0 || step == stopAt+10 {
+				exchange(250, false)
+			}
+			if (step+i)%20 != 0 || collecting {
+				continue
+			}
+			requests++
+			limiter.RecordDemand(a, 1, requestTokens)
+			ok := limiter.Spend(d.now, a, 1, requestTokens)
+			if !ok {
+				exchange(50, false)
+				ok = limiter.Spend(d.now, a, 1, requestTokens)
+			}
+			if !ok {
+				refused++
+			}
+		}
+	}
+	if refused > 0 {
+		t.Errorf("got %d of %d requests refused, want none", refused, requests)
+	}
+}
