--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -71,9 +71,9 @@
 	lost       bool
 	// ended is set after the run's last report, or when a later run has reported. Reports that arrive
 	// later are ignored.
-	ended bool
-	holdings   map[string]*holding
-	element    *list.Element
+	ended    bool
+	holdings map[string]*holding
+	element  *list.Element
 }
 
 // holding is the part of one account at one run: its last report, and its lease.
