Quota: a daemon that returns after a long partition is counted once

Found by reading the diff: a run that had not reported for a window was dropped, and subtracted from the sums a second time when it reported again, so that the account could spend its part once more.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -17,7 +17,7 @@
 	// StartedAt is when this leader began to allocate quotas.
 	StartedAt clock.Instant
 	// ExpectedDaemons is the number of entry daemons that should report. In its first window a new leader
-	// assumes that each of those that have not reported has spent unreportedFactor.
+	// assumes that those that have not reported have spent some of the limit.
 	ExpectedDaemons int
 	// SpendingUnknown is set on a leader whose process was restarted less than a window before, so that
 	// the entry daemons may have been restarted too.
@@ -31,8 +31,8 @@
 	// connected and lost contain the runs in order of their last report, the oldest first.
 	connected list.List
 	lost      list.List
-	// restarted contains the start times of the runs whose predecessor this leader has no report of. unknownWindows is the sum of the parts of the window before those times, as of
-	// unknownAt.
+	// restarted contains the start times of the runs whose predecessor this leader has no report of.
+	// unknownWindows is the sum of the parts of the window before those times, as of unknownAt.
 	restarted      []clock.Instant
 	unknownWindows float64
 	unknownAt      clock.Instant
@@ -308,9 +308,10 @@
 		t.ended.Add(now, h.unspent)
 	}
 	al.drop(r)
-	r.ended, r.holdings = true, nil
+	r.ended = true
 }
 
+// drop removes a run and its parts. It may report again later, after a long partition.
 func (al *Allocator) drop(r *run) {
 	if r.lost {
 		al.lost.Remove(r.element)
@@ -327,6 +328,7 @@
 		}
 	}
 	delete(al.runs, r.name)
+	r.holdings = nil
 }
 
 // update brings the totals in line with a holding.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -550,3 +550,27 @@
 		t.Errorf("got %d of %d requests refused, want none", refused, requests)
 	}
 }
+
+// TestReturnAfterALongPartition cuts one of two daemons off for longer than a window. The sums must be
+// those of two daemons when it reports again.
+func TestReturnAfterALongPartition(t *testing.T) {
+	d := newDeployment(2)
+	d.allocator.ExpectedDaemons = 2
+	report := func(i int) {
+		d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: []Use{{Account: "a", Spent: 300_000, Total: 300_000}}, SinceLast: 250})
+	}
+	for step := range 80 {
+		d.now += 250
+		if step < 10 || step >= 60 {
+			report(0)
+		}
+		report(1)
+	}
+	totals := d.allocator.totals["a"]
+	if got, want := totals.counted, 600_000.0; got < want || got > 1.5*want {
+		t.Errorf("got %.0f tokens counted, want %.0f and what was granted", got, want)
+	}
+	if got, want := totals.holders, 2; got != want {
+		t.Errorf("got %d holders, want %d", got, want)
+	}
+}
