Core: a server that changes core daemons is not announced to entry daemons again

The overload makes more announcements time out.

Ruled out: the cost of an event (feed, now that of its records), the replies to reports (bounded now).

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -453,6 +453,44 @@
 	}
 }
 
+// TestAlternatingAnnouncementsAreNotSentToEntries checks that a server that announces itself at two core
+// daemons in turn, as servers do when calls time out, causes no events for entry daemons. With thousands of
+// servers and hundreds of entry daemons, those events would overload the core daemons further.
+func TestAlternatingAnnouncementsAreNotSentToEntries(t *testing.T) {
+	g := newCluster(t, 3)
+	g.putRules(1)
+	n := peers.New(peers.Options{Token: token})
+	var records atomic.Int64
+	f := &feed.Follower{
+		Name: "entry", Entry: true, Clock: clock.Start(), Log: logr.Discard(), Client: n.FeedClient,
+		Seeds:   func() []string { return g.settings[0].Seeds },
+		OnEvent: func(_ string, e *peerpb.FeedEvent) { records.Add(int64(len(e.GetServers()))) },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.Run(ctx)
+	record := enrol.Record{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Zone: "z", Version: "v1", Slots: 4, Born: 7, Sequence: 1}
+	if err := g.cores[0].Enrol(ctx, record); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(10 * time.Second); records.Load() < 3; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("got the record from %d core daemons, want 3", records.Load())
+		}
+	}
+	for i := range 6 {
+		record.Sequence++
+		if err := g.cores[i%2].Enrol(ctx, record); err != nil {
+			t.Fatal(err)
+		}
+		// The core daemons exchange announcements with the next event of their streams.
+		time.Sleep(500 * time.Millisecond)
+	}
+	if got, want := records.Load(), int64(3); got != want {
+		t.Errorf("got %d records, want %d", got, want)
+	}
+}
+
 // TestLeaderWithStalledDiskNamesNoLeader blocks the disk of the leader. Once another leader is
 // elected, the blocked daemon must no longer name itself as the leader to entry daemons. The
 // benchmark day deploy/days/disks.toml has this fault.
--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -55,7 +55,6 @@
 		return
 	}
 	now := c.table.ByID[r.ID]
-	moved := direct != c.announcedDirectly[r.ID]
 	c.announcedDirectly[r.ID] = direct
 	changed := old == nil || before.State != now.State || before.Born != now.Born || before.Address != now.Address ||
 		before.ReclaimAt == 0 && now.ReclaimAt > 0
@@ -63,7 +62,7 @@
 		c.log.Info("backend server", "server", now.ID, "service", now.Service, "address", now.Address, "zone", now.Zone,
 			"state", now.State.String(), "sequence", now.Sequence, "born", int64(now.Born), "spot", now.Spot, "direct", direct)
 	}
-	c.Source.Publish(now, changed || direct && moved)
+	c.Source.Publish(now, changed)
 }
 
 // Deregister marks a backend server as removed (state Gone), at the request of the server.
