Known red: the quota after the loss of all processes

Cause: kill_all at 51 s under a hot account; a leader that was restarted with its daemons grants 0.6 of each quota in its first window.

Not mended: a smaller part would refuse callers within their quotas after each loss of power; what scarce accounts spent has to be recorded durably.

--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -574,3 +574,59 @@
 		t.Errorf("got %d holders, want %d", got, want)
 	}
 }
+
+// TestQuotaHoldsWhenAllAreKilled sends eight times the quota and kills the leader and all daemons once the
+// account has spent its window. They restart after a second and know nothing of what was spent. Benchmark
+// run: minik grown, trouble-3.
+func TestQuotaHoldsWhenAllAreKilled(t *testing.T) {
+	const entries = 78
+	d := newDeployment(entries)
+	d.runSecond(0)
+	d.spent = nil
+	a := &d.set.Accounts[0]
+	const killAt, down = 60, 20
+	restarted := false
+	for step := range 300 {
+		d.now += 50
+		if step >= killAt && step < killAt+down {
+			d.spent = append(d.spent, 0)
+			continue
+		}
+		if step == killAt+down {
+			restarted = true
+			d.allocator = Allocator{Bounds: d.allocator.Bounds, StartedAt: d.now, ExpectedDaemons: entries, SpendingUnknown: true}
+			for i := range d.limiters {
+				*d.limiters[i] = Limiter{Entries: entries, Window: 8 * clock.Second}
+			}
+		}
+		spent := 0.0
+		for i, limiter := range d.limiters {
+			exchange := func(since clock.Duration) {
+				report := Report{Run: fmt.Sprint(i, "/", restarted), Uses: limiter.TakeReport(d.now, nil), SinceLast: since}
+				if restarted {
+					report.SinceRestart = clock.Duration(50*(step-killAt-down) + 50)
+				}
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, report))
+			}
+			if (step+i)%5 == 0 {
+				exchange(250)
+			}
+			if (step+i)%4 > 0 {
+				continue
+			}
+			limiter.RecordDemand(a, 0, requestTokens)
+			ok := limiter.Spend(d.now, a, 0, requestTokens)
+			if !ok {
+				exchange(50)
+				ok = limiter.Spend(d.now, a, 0, requestTokens)
+			}
+			if ok {
+				spent += requestTokens
+			}
+		}
+		d.spent = append(d.spent, spent)
+	}
+	if got := d.maxBySteps(); got > allowed {
+		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, float64(allowed))
+	}
+}
