--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -62,11 +62,14 @@
 }
 
 // maxWindow returns the largest sum of what was spent in eight consecutive seconds.
-func (d *deployment) maxWindow() float64 {
+func (d *deployment) maxWindow() float64 { return d.maxOver(8) }
+
+// maxOver returns the largest sum of what was spent in n consecutive entries of spent.
+func (d *deployment) maxOver(n int) float64 {
 	most := 0.0
 	for i := range d.spent {
 		sum := 0.0
-		for _, s := range d.spent[max(0, i-7) : i+1] {
+		for _, s := range d.spent[max(0, i-n+1) : i+1] {
 			sum += s
 		}
 		most = max(most, sum)
@@ -297,13 +300,7 @@
 			if step < killAt-4 && (step+i)%16 > 0 || (step+i)%2 > 0 {
 				continue
 			}
-			limiter.RecordDemand(a, 0, requestTokens)
-			ok := limiter.Spend(d.now, a, 0, requestTokens)
-			if !ok {
-				exchange(i, 50)
-				ok = limiter.Spend(d.now, a, 0, requestTokens)
-			}
-			if ok {
+			if d.request(limiter, 0, func() { exchange(i, 50) }) {
 				spent += requestTokens
 			}
 		}
@@ -341,13 +338,7 @@
 			if step < 40 && (step+i)%80 > 0 || (step+i)%2 > 0 {
 				continue
 			}
-			limiter.RecordDemand(a, 0, requestTokens)
-			ok := limiter.Spend(d.now, a, 0, requestTokens)
-			if !ok {
-				exchange(50)
-				ok = limiter.Spend(d.now, a, 0, requestTokens)
-			}
-			if ok {
+			if d.request(limiter, 0, func() { exchange(50) }) {
 				spent += requestTokens
 			}
 		}
@@ -397,13 +388,7 @@
 			if (step+i)%2 > 0 {
 				continue
 			}
-			limiter.RecordDemand(a, 0, requestTokens)
-			ok := limiter.Spend(d.now, a, 0, requestTokens)
-			if !ok {
-				exchange(50)
-				ok = limiter.Spend(d.now, a, 0, requestTokens)
-			}
-			if ok {
+			if d.request(limiter, 0, func() { exchange(50) }) {
 				spent += requestTokens
 			}
 		}
@@ -451,13 +436,7 @@
 			if (step+i)%3 > 0 {
 				continue
 			}
-			limiter.RecordDemand(a, 0, requestTokens)
-			ok := limiter.Spend(d.now, a, 0, requestTokens)
-			if !ok {
-				exchange(50)
-				ok = limiter.Spend(d.now, a, 0, requestTokens)
-			}
-			if ok {
+			if d.request(limiter, 0, func() { exchange(50) }) {
 				spent += requestTokens
 			}
 		}
@@ -477,17 +456,18 @@
 }
 
 // maxBySteps returns the largest sum of what was spent in eight seconds of steps of 50 ms.
-func (d *deployment) maxBySteps() float64 {
-	const n = 160
-	most := 0.0
-	for i := range d.spent {
-		sum := 0.0
-		for _, s := range d.spent[max(0, i-n+1) : i+1] {
-			sum += s
-		}
-		most = max(most, sum)
+func (d *deployment) maxBySteps() float64 { return d.maxOver(160) }
+
+// request requests quota for one request at a daemon, which reports to the leader if its grants do not
+// cover it.
+func (d *deployment) request(l *Limiter, level int, report func()) bool {
+	a := &d.set.Accounts[0]
+	l.RecordDemand(a, level, requestTokens)
+	if l.Spend(d.now, a, level, requestTokens) {
+		return true
 	}
-	return most
+	report()
+	return l.Spend(d.now, a, level, requestTokens)
 }
 
 // TestPlannedRestartsRefuseNothing stops and starts six daemons in turn, two seconds apart, while an
@@ -497,7 +477,6 @@
 	const entries = 6
 	d := newDeployment(entries)
 	d.allocator.ExpectedDaemons = entries
-	a := &d.set.Accounts[0]
 	startedAt := make([]clock.Instant, entries)
 	boots := make([]int, entries)
 	requests, refused := 0, 0
@@ -535,13 +514,7 @@
 				continue
 			}
 			requests++
-			limiter.RecordDemand(a, 1, requestTokens)
-			ok := limiter.Spend(d.now, a, 1, requestTokens)
-			if !ok {
-				exchange(50, false)
-				ok = limiter.Spend(d.now, a, 1, requestTokens)
-			}
-			if !ok {
+			if !d.request(limiter, 1, func() { exchange(50, false) }) {
 				refused++
 			}
 		}
@@ -583,7 +556,6 @@
 	d := newDeployment(entries)
 	d.runSecond(0)
 	d.spent = nil
-	a := &d.set.Accounts[0]
 	const killAt, down = 60, 20
 	restarted := false
 	for step := range 300 {
@@ -614,13 +586,7 @@
 			if (step+i)%4 > 0 {
 				continue
 			}
-			limiter.RecordDemand(a, 0, requestTokens)
-			ok := limiter.Spend(d.now, a, 0, requestTokens)
-			if !ok {
-				exchange(50)
-				ok = limiter.Spend(d.now, a, 0, requestTokens)
-			}
-			if ok {
+			if d.request(limiter, 0, func() { exchange(50) }) {
 				spent += requestTokens
 			}
 		}
