Rollouts: steps log the counts of both versions, requests their version

The line of a step named the requests by route, but not how many were counted as failed or slow, so that the three hypotheses could not be told apart; a request's line did not name its version.

--- a/internal/moves/ledger.go
+++ b/internal/moves/ledger.go
@@ -390,6 +390,17 @@
 	return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Account, b.Account))
 }
 
+// Sum returns the tally of a version over all routes and client accounts.
+func (e *Evidence) Sum(version string) Tally {
+	var sum Tally
+	for s, t := range e.total {
+		if s.Version == version {
+			sum.Add(*t)
+		}
+	}
+	return sum
+}
+
 // CountRoutes returns the requests to either version on each of the routes.
 func (e *Evidence) CountRoutes(routes []string) []RouteCounts {
 	counts := make([]RouteCounts, 0, len(routes))
--- a/internal/moves/watch.go
+++ b/internal/moves/watch.go
@@ -168,6 +168,7 @@
 		e.regression = e.evidence.FindRegression()
 	}
 	in.Routes, in.Regression = e.evidence.CountRoutes(routes), e.regression
+	in.Old, in.New = e.evidence.Sum(m.From), e.evidence.Sum(m.To)
 	in.WeakEvidence, in.Faults = e.evidence.FindWeakEvidence(), e.evidence.Faults()
 	return in
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -158,7 +158,7 @@
 func (a *attempt) run(ctx context.Context) retry.Result {
 	x, p := a.exchange, a.proxy
 	server := a.choice.Server
-	x.server, x.expectedWait = server.ID, a.choice.Wait
+	x.server, x.version, x.expectedWait = server.ID, server.Version, a.choice.Wait
 	x.tried = append(x.tried, server.ID)
 	p.mu.Lock()
 	service := p.serviceState(x.service)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -336,6 +336,7 @@
 	status       int
 	detail       string
 	server       string
+	version      string
 	expectedWait float64
 }
 
@@ -551,7 +552,7 @@
 	x.proxy.Log.Info("request",
 		"id", x.request.ID, "route", x.routeName(), "account", x.accountName(), "service", x.service,
 		"outcome", x.outcome, "status", x.status, "detail", x.detail,
-		"size", int(x.quotaUsed), "server", x.server, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.eventCount,
+		"size", int(x.quotaUsed), "server", x.server, "version", x.version, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.eventCount,
 		"expectedMs", int(x.expectedWait), "firstMs", x.firstResponseMs(), "tookMs", int64(x.proxy.Clock.Now().Sub(x.arrived)),
 		"rulesVersion", x.rulesVersion())
 }
