Replay: rollouts of a service without streams (fails, known red)

TestSlowPlainVersionIsNotRolledOut plays rollouts of a service without streams at 20 requests a second and 7 daemons, and at 310 and 295: times that differ more, one route that fails often, and versions of which a part of the answers is slow.

TestShortRollouts missed it: its slow versions are slow in every answer, on engines, whose first tokens differ little and whose token gaps tell as well; and its daemons have seen 20 s of traffic before. New in traces: spread and errorPercent of a route, slowPercent of a fault.

--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -266,14 +267,17 @@
 	return list[len(list)-1]
 }
 
+// defaultSpread is the spread of the times to the first token of a route that names none.
+const defaultSpread = 0.35
+
 // drawAnswer returns a random outcome: log-normal latencies, the error rate of the deployment, and
 // the faults of the version.
 func (r *run) drawAnswer(q *Request, s Source, version string) Answer {
 	a := Answer{
-		FirstTokenMs: s.FirstTokenMs * math.Exp(0.35*r.random.NormFloat64()),
+		FirstTokenMs: s.FirstTokenMs * math.Exp(cmp.Or(s.Spread, defaultSpread)*r.random.NormFloat64()),
 		GapMs:        s.GapMs * math.Exp(0.08*r.random.NormFloat64()),
 		Tokens:       max(int(float64(s.Tokens)*math.Exp(0.3*r.random.NormFloat64())), 1),
-		Failed:       100*r.random.Float64() < r.Traffic.ErrorPercent,
+		Failed:       100*r.random.Float64() < cmp.Or(s.ErrorPercent, r.Traffic.ErrorPercent),
 	}
 	for _, f := range r.Faults {
 		if r.applies(f, q, version) {
@@ -284,7 +288,10 @@
 }
 
 func (a *Answer) apply(f Fault, random *rand.Rand) {
-	if f.Slow > 0 {
+	switch {
+	case f.Slow > 0 && f.SlowPercent > 0 && 100*random.Float64() >= f.SlowPercent:
+		a.unaffected = true
+	case f.Slow > 0:
 		a.FirstTokenMs *= f.Slow
 		a.GapMs *= f.Slow
 	}
@@ -338,7 +345,7 @@
 	if !answer.Failed {
 		duration += clock.Duration(answer.GapMs * float64(answer.Tokens))
 	}
-	end := outcome{observation: o, daemon: q.Daemon, faulty: r.faulty(&q, version)}
+	end := outcome{observation: o, daemon: q.Daemon, faulty: r.faulty(&q, version) && !answer.unaffected}
 	if r.short && !answer.Failed {
 		first := end
 		first.observation.TokenGap, first.observation.Tokens = 0, 0
--- a/internal/replay/short_test.go
+++ b/internal/replay/short_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"swiftbeam/internal/moves"
@@ -24,12 +25,22 @@
 	{Name: "tag", Part: 0.35, FirstTokenMs: 80, GapMs: 20, Tokens: 25},
 }
 
+// plainRoutes are the routes of a service without streams, whose times differ more than those of an
+// engine, and one of which fails often.
+var plainRoutes = []Source{
+	{Name: "deposit", Part: 0.65, FirstTokenMs: 60, Spread: 0.5, ErrorPercent: 0.4},
+	{Name: "look", Part: 0.35, FirstTokenMs: 60, Spread: 0.5, ErrorPercent: 14},
+}
+
+// shortFault is a kind of fault of the new version in a short rollout; nil for a healthy version.
+type shortFault struct {
+	name  string
+	fault *Fault
+}
+
 // shortCases returns rollouts of 12 to 40 s under 20 to 130 requests per second.
 func shortCases() []*Case {
-	faults := []struct {
-		name  string
-		fault *Fault
-	}{
+	faults := []shortFault{
 		{"good", nil},
 		{"errors", &Fault{ErrorPercent: 30}},
 		{"allErrors", &Fault{ErrorPercent: 100}},
@@ -44,24 +55,50 @@
 	var list []*Case
 	for _, seconds := range []int64{12, 20, 40} {
 		for _, rate := range []float64{20, 50, 130} {
-			for _, f := range faults {
-				for seed := range uint64(20) {
-					c := &Case{
-						Name: fmt.Sprintf("%s in %d s at %.0f/s, seed %d", f.name, seconds, rate, seed), Service: "s",
-						FinishInMs: 1000 * seconds, TrialPercent: moves.TrialPercent(shortShare, shortSlack, rate*float64(seconds)), Daemons: shortDaemons, ReadyOld: 9, ReadyNew: 9, Expect: "finished",
-						Traffic: Traffic{Seed: seed, RatePerSecond: rate, ErrorPercent: 0.5, Routes: shortRoutes, Accounts: []Source{{Name: "a", Part: 0.6}, {Name: "b", Part: 0.4}}},
-					}
-					if f.fault != nil {
-						fault := *f.fault
-						fault.Version = "new"
-						if f.name == "late" || f.name == "lateSlow" {
-							fault.AfterMs = 300 * seconds
-						}
-						c.Faults, c.Expect = []Fault{fault}, "rolledBack"
-					}
-					list = append(list, c)
+			list = append(list, shortRollouts(seconds, rate, shortDaemons, shortRoutes, faults)...)
+		}
+	}
+	return list
+}
+
+// plainCases returns rollouts of a service without streams, at few and at hundreds of daemons.
+func plainCases() []*Case {
+	faults := []shortFault{
+		{"good", nil},
+		{"slow", &Fault{Slow: 4}},
+		{"slowHalf", &Fault{Slow: 6, SlowPercent: 50}},
+		{"slowThird", &Fault{Slow: 8, SlowPercent: 35}},
+		{"slowHalfOfRoute", &Fault{Slow: 6, SlowPercent: 50, Route: "deposit"}},
+		{"errors", &Fault{ErrorPercent: 40}},
+		{"lateSlowHalf", &Fault{Slow: 6, SlowPercent: 50}},
+	}
+	var list []*Case
+	for _, seconds := range []int64{12, 15, 20, 40} {
+		list = append(list, shortRollouts(seconds, 20, 7, plainRoutes, faults)...)
+		list = append(list, shortRollouts(seconds, 310, 295, plainRoutes, faults)...)
+	}
+	return list
+}
+
+// shortRollouts returns rollouts that end within seconds, 20 for each fault.
+func shortRollouts(seconds int64, rate float64, daemons int, routes []Source, faults []shortFault) []*Case {
+	var list []*Case
+	for _, f := range faults {
+		for seed := range uint64(20) {
+			c := &Case{
+				Name: fmt.Sprintf("%s in %d s at %.0f/s, %d daemons, seed %d", f.name, seconds, rate, daemons, seed), Service: "s",
+				FinishInMs: 1000 * seconds, TrialPercent: moves.TrialPercent(shortShare, shortSlack, rate*float64(seconds)), Daemons: daemons, ReadyOld: 9, ReadyNew: 9, Expect: "finished",
+				Traffic: Traffic{Seed: seed, RatePerSecond: rate, ErrorPercent: 0.5, Routes: routes, Accounts: []Source{{Name: "a", Part: 0.6}, {Name: "b", Part: 0.4}}},
+			}
+			if f.fault != nil {
+				fault := *f.fault
+				fault.Version = "new"
+				if strings.HasPrefix(f.name, "late") {
+					fault.AfterMs = 300 * seconds
 				}
+				c.Faults, c.Expect = []Fault{fault}, "rolledBack"
 			}
+			list = append(list, c)
 		}
 	}
 	return list
@@ -70,8 +107,14 @@
 // TestShortRollouts replays rollouts that end within seconds. Healthy versions must finish in
 // time. Regressed ones must be rolled back, receive a bounded number of requests, and none later than
 // shortClearance after their 50th faulty response.
-func TestShortRollouts(t *testing.T) {
-	for _, r := range RunAll(shortCases(), Options{Short: true}) {
+func TestShortRollouts(t *testing.T) { checkShort(t, shortCases()) }
+
+// TestSlowPlainVersionIsNotRolledOut checks rollouts that give few observations to each daemon.
+func TestSlowPlainVersionIsNotRolledOut(t *testing.T) { checkShort(t, plainCases()) }
+
+func checkShort(t *testing.T, cases []*Case) {
+	t.Helper()
+	for _, r := range RunAll(cases, Options{Short: true}) {
 		if d := r.Mismatch(); d != "" {
 			t.Errorf("%s: %s (%s)", r.Case.Name, d, r.Evidence)
 		}
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -46,14 +46,18 @@
 	Accounts      []Source `json:"accounts"`
 }
 
-// Source is a route or client account with its fraction of the traffic. Only routes have times and
-// tokens.
+// Source is a route or client account with its fraction of the traffic. Only routes have times,
+// tokens and errors of their own.
 type Source struct {
 	Name         string  `json:"name"`
 	Part         float64 `json:"part"`
 	FirstTokenMs float64 `json:"firstTokenMs,omitempty"`
-	GapMs        float64 `json:"gapMs,omitempty"`
-	Tokens       int     `json:"tokens,omitempty"`
+	// Spread is the standard deviation of the logarithm of FirstTokenMs; zero means defaultSpread.
+	Spread float64 `json:"spread,omitempty"`
+	GapMs  float64 `json:"gapMs,omitempty"`
+	Tokens int     `json:"tokens,omitempty"`
+	// ErrorPercent, if above zero, replaces that of the traffic.
+	ErrorPercent float64 `json:"errorPercent,omitempty"`
 }
 
 // Fault makes requests to a version fail, makes them slower, or shortens their responses.
@@ -63,8 +67,10 @@
 	// AfterMs is the time from the start of the move from which the fault applies.
 	AfterMs      int64   `json:"afterMs,omitempty"`
 	ErrorPercent float64 `json:"errorPercent,omitempty"`
-	// Slow, if above zero, multiplies the latencies.
-	Slow float64 `json:"slow,omitempty"`
+	// Slow, if above zero, multiplies the latencies of SlowPercent of the responses, or of all if
+	// SlowPercent is zero.
+	Slow        float64 `json:"slow,omitempty"`
+	SlowPercent float64 `json:"slowPercent,omitempty"`
 	// ShortPercent, if above zero, is the length of a response in percent of its usual length.
 	ShortPercent int `json:"shortPercent,omitempty"`
 	// Route and Account limit the fault to a route or client account; empty means all.
@@ -99,6 +105,8 @@
 	FirstTokenMs float64 `json:"firstTokenMs,omitempty"`
 	GapMs        float64 `json:"gapMs,omitempty"`
 	Tokens       int     `json:"tokens,omitempty"`
+	// unaffected is set if a fault with SlowPercent applies to the request but spares this response.
+	unaffected bool
 }
 
 // line is the field that all lines of a trace have.
