Moves: what is slow is judged by the leader, from distributions of all daemons

What callers saw: a version of commission-ledger that answers half of its requests several times slower was rolled out. Cause: each daemon counted an answer as slow by its own median of the old version, which it knows after ten answers of a route. At seven daemons and 20 requests a second the second route was hardly ever judged (5 of 15 answers), at hundreds of daemons none is; what was not judged counted as fast.

Change: daemons report histograms of the times and lengths, and the leader adds them up and takes the limits from the old version's sum. All routes are also compared together, each at the old version's own rate. The test no longer loses its precision for counts far below the old rate (found by the pooled comparison: 32 of 13,381 counted as worse than 1,902 of 37,813).

--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -72,14 +72,13 @@
 		_, err := c.propose(ctx, state.StepRollout{MoveStep: step, At: now, Trial: r.Trial})
 		c.log.Info("rollout step", "service", step.Service, "target", step.Version, "stage", step.Stage.String(), "share", step.Share, "trialPercent", r.Trial,
 			"reason", step.Reason.String(), "evidence", step.Evidence, "readyNew", in.ReadyNew, "readyOld", in.ReadyOld,
-			"runningOld", in.RunningOld, "old", tallyFields(&in.Old), "new", tallyFields(&in.New), "error", errorText(err))
+			"runningOld", in.RunningOld, "old", countFields(&in.Old), "new", countFields(&in.New), "error", errorText(err))
 	}
 }
 
-// tallyFields returns the counts of a version for a log line.
-func tallyFields(t *moves.Tally) map[string]uint64 {
-	failed, slowFirst, slowGap, short := t.Counts()
-	return map[string]uint64{"requests": t.Requests, "failed": failed, "slowFirst": slowFirst, "slowGap": slowGap, "short": short}
+// countFields returns the counts of a version for a log line.
+func countFields(c *moves.Counts) map[string]uint64 {
+	return map[string]uint64{"requests": c.Requests, "failed": c.Failed, "slowFirst": c.SlowFirst, "slowTokens": c.SlowTokens, "short": c.Short}
 }
 
 // requestRate returns the service's requests per second, averaged over longSpan.
--- a/internal/moves/moves.go
+++ b/internal/moves/moves.go
@@ -92,9 +92,9 @@
 	// RunningOld counts the requests that the old replicas still process, if known.
 	RunningOld int
 	Routes     []RouteCounts
-	// Old and New are the tallies of either version over all routes.
-	Old Tally
-	New Tally
+	// Old and New count the requests and faults of either version over all routes.
+	Old Counts
+	New Counts
 	// Regression is the first detected regression of the new version, or nil.
 	Regression *Regression
 	// WeakEvidence is evidence against the new version that passed only the weaker test, or nil.
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -19,6 +19,7 @@
 		want               bool
 	}{
 		{"much better than a faulty old version", Count{10276, 505}, Count{1050, 4}, false},
+		{"far below a high rate", Count{37813, 1902}, Count{13381, 32}, false},
 		{"equal on many requests", Count{100000, 1000}, Count{5000, 50}, false},
 		{"every request fails", Count{1000, 2}, Count{4, 4}, true},
 		{"no request fails", Count{1000, 2}, Count{400, 0}, false},
--- a/internal/moves/test.go
+++ b/internal/moves/test.go
@@ -20,6 +20,13 @@
 	return Count{Requests: c.Requests + o.Requests, Hits: c.Hits + o.Hits}
 }
 
+func (c Count) rate() float64 {
+	if c.Requests == 0 {
+		return 0
+	}
+	return float64(c.Hits) / float64(c.Requests)
+}
+
 // Test is a sequential test of the new version's fault rate against the old one's.
 type Test struct {
 	// FalseAlarm bounds the probability that a version with the old one's rate is ever found worse.
@@ -36,18 +43,9 @@
 // WeakTest is the weaker test that pauses a version, as a false alarm only delays the move.
 var WeakTest = Test{FalseAlarm: 0.05, Margin: 0.01, Tests: 5}
 
-// ShortClassifier, ShortTest and ShortMargin are for moves that are done within seconds. Times are
-// compared with the median, which is known after few requests and is far from the times of a version
-// that is several times slower. The wider margin allows for servers that start with empty caches. A
-// healthy version may be rolled back in one of a hundred moves, as a regression must be detected after
-// few requests.
-var (
-	ShortClassifier = Classifier{SlowQuantile: 0.5, Tolerance: 2, WarmUp: 10}
-	ShortTest       = Test{FalseAlarm: 1e-2, Margin: 0.01, Tests: 20}
-)
-
-// ShortMargin is the tolerated difference of the rates of slow responses in short moves.
-const ShortMargin = 0.15
+// ShortTest is for moves that are done within seconds. A healthy version may be rolled back in one of a
+// hundred moves, as a regression must be detected after few requests.
+var ShortTest = Test{FalseAlarm: 1e-2, Margin: 0.01, Tests: 20}
 
 // priorRequests and priorHits are added to the old version's counts, so that its rate is not taken
 // as zero after few requests.
@@ -63,10 +61,12 @@
 // equal. By Ville's inequality, the probability that it ever exceeds 1/a is at most a, so the test
 // may be repeated after every request.
 func (t Test) Worse(oldCount, newCount Count) bool {
-	if newCount.Hits == 0 {
+	base := t.baseline(oldCount)
+	// Up to the baseline, the ratio is at most 1, and logRatio loses its precision far below.
+	if newCount.rate() <= base {
 		return false
 	}
-	return logRatio(t.baseline(oldCount), newCount) > math.Log(float64(t.Tests)/t.FalseAlarm)
+	return logRatio(base, newCount) > math.Log(float64(t.Tests)/t.FalseAlarm)
 }
 
 // baseline returns the highest rate that the old version's counts support, with the margin.
@@ -123,7 +123,10 @@
 
 // Evidence describes the regression to operators.
 func (f *Regression) Evidence() string {
-	scope := "route " + f.Route
+	scope := "all routes"
+	if f.Route != "" {
+		scope = "route " + f.Route
+	}
 	if f.Account != "" {
 		scope += ", client account " + f.Account
 	}
--- a/internal/moves/watch.go
+++ b/internal/moves/watch.go
@@ -9,9 +9,10 @@
 
 // moveEvidence is the evidence on one move and the regression that was detected in it, if any.
 type moveEvidence struct {
-	evidence   Evidence
-	started    clock.Instant
-	regression *Regression
+	evidence    Evidence
+	started     clock.Instant
+	evaluatedAt clock.Instant
+	regression  *Regression
 }
 
 // moveEvidences contains the evidence on each service's newest move.
@@ -28,9 +29,9 @@
 	if e != nil && e.started == m.Started && e.evidence.To == m.To {
 		return e
 	}
-	e = &moveEvidence{started: m.Started, evidence: Evidence{Service: m.Service, From: m.From, To: m.To, Method: DefaultTest}}
+	e = &moveEvidence{started: m.Started, evidence: Evidence{Service: m.Service, From: m.From, To: m.To, Method: DefaultTest, Criteria: DefaultCriteria}}
 	if v.shortMoves {
-		e.evidence.Method, e.evidence.SlowMargin = ShortTest, ShortMargin
+		e.evidence.Method, e.evidence.Criteria = ShortTest, ShortCriteria
 	}
 	if v.all == nil {
 		v.all = make(map[string]*moveEvidence)
@@ -43,15 +44,13 @@
 // of either version, and whether it stopped the new one locally. The zero value is ready to use; its
 // owner serialises the calls.
 type Monitor struct {
-	Classifier Classifier
-
 	pacers map[string]*Pacer
 	local  moveEvidences
 	totals map[Scope]*Tally
 }
 
 // SetShortMoves configures the monitor for moves that are done within seconds.
-func (w *Monitor) SetShortMoves() { w.Classifier, w.local.shortMoves = ShortClassifier, true }
+func (w *Monitor) SetShortMoves() { w.local.shortMoves = true }
 
 // Pick returns the version for a request.
 func (w *Monitor) Pick(m *state.Move, service string, q Query) string {
@@ -75,28 +74,28 @@
 // Observe adds the outcome of a request to the evidence; the move may be nil. If this request makes
 // the daemon stop the new version, Observe returns the regression that was detected.
 func (w *Monitor) Observe(now clock.Instant, m *state.Move, o Observation) *Regression {
-	old := m == nil || o.Version != m.To
-	tally := w.Classifier.Classify(o, old)
 	if m == nil || m.Stage.Ended() || o.Version != m.To && o.Version != m.From {
 		return nil
 	}
-	scope := Scope{Service: o.Service, Version: o.Version, Route: o.Route, Account: o.Account}
+	scope, tally := Scope{Service: o.Service, Version: o.Version, Route: o.Route, Account: o.Account}, o.Tally()
 	e := w.local.of(m)
 	e.evidence.Add(now, scope, tally)
 	if w.totals == nil {
 		w.totals = make(map[Scope]*Tally)
 	}
-	if w.totals[scope] == nil {
-		w.totals[scope] = &Tally{}
-	}
-	w.totals[scope].Add(tally)
-	if old || e.regression != nil {
+	addTo(w.totals, scope, &tally)
+	if o.Version != m.To || e.regression != nil || now.Sub(e.evaluatedAt) < evaluationInterval {
 		return nil
 	}
+	e.evaluatedAt = now
 	e.regression = e.evidence.FindRegression()
 	return e.regression
 }
 
+// evaluationInterval is the minimum time between two evaluations of a daemon's own evidence, whose cost
+// grows with the number of scopes.
+const evaluationInterval = 100 * clock.Millisecond
+
 // Totals returns the totals of running moves and removes those of other moves.
 func (w *Monitor) Totals(runs func(service string) bool) []Sample {
 	var list []Sample
@@ -105,7 +104,9 @@
 			delete(w.totals, scope)
 			continue
 		}
-		list = append(list, Sample{Scope: scope, Tally: *t})
+		var copied Tally
+		copied.Add(t)
+		list = append(list, Sample{Scope: scope, Tally: copied})
 	}
 	return list
 }
@@ -151,9 +152,10 @@
 	next := make(map[Scope]Tally, len(list))
 	for _, s := range list {
 		next[s.Scope] = s.Tally
-		t := s.Since(last[s.Scope])
+		earlier := last[s.Scope]
+		t := s.Since(&earlier)
 		m := move(s.Service)
-		if t == (Tally{}) || m == nil || m.Stage.Ended() || s.Version != m.To && s.Version != m.From {
+		if t.IsZero() || m == nil || m.Stage.Ended() || s.Version != m.To && s.Version != m.From {
 			continue
 		}
 		a.global.of(m).evidence.Add(now, s.Scope, t)
@@ -168,7 +170,7 @@
 		e.regression = e.evidence.FindRegression()
 	}
 	in.Routes, in.Regression = e.evidence.CountRoutes(routes), e.regression
-	in.Old, in.New = e.evidence.Sum(m.From), e.evidence.Sum(m.To)
+	in.Old, in.New = e.evidence.CountFaults()
 	in.WeakEvidence, in.Faults = e.evidence.FindWeakEvidence(), e.evidence.Faults()
 	return in
 }
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -101,10 +101,10 @@
 // daemon is a simulated daemon. It evaluates requests and stops the new version locally on the evidence
 // of its own requests.
 type daemon struct {
-	classifier moves.Classifier
-	pacer      moves.Pacer
-	evidence   *moves.Evidence
-	stopped    bool
+	pacer       moves.Pacer
+	evidence    *moves.Evidence
+	evaluatedAt clock.Instant
+	stopped     bool
 }
 
 // outcome is an observation that is made in a later tick.
@@ -150,14 +150,7 @@
 	r.short = o.Short
 	r.global = r.newEvidence(o.Method)
 	for range c.Daemons {
-		d := &daemon{evidence: r.newEvidence(o.Method)}
-		if o.Short {
-			d.classifier = moves.ShortClassifier
-		}
-		r.daemons = append(r.daemons, d)
-	}
-	if o.Short {
-		r.warmUp()
+		r.daemons = append(r.daemons, &daemon{evidence: r.newEvidence(o.Method)})
 	}
 	for r.now <= r.move.FinishBy.Add(tick) && !r.move.Stage.Ended() {
 		r.step()
@@ -169,26 +162,10 @@
 	return r.result
 }
 
-// warmUpTime is the time for which the daemons observe requests of the old version before the replay of
-// a short move, which is a change of version that ends within seconds. The daemons need these
-// observations to know from the start which responses are slow.
-const warmUpTime = 20 * clock.Second
-
-// warmUp passes requests of the old version to the daemons' classifiers, so that their thresholds
-// are known when the move starts.
-func (r *run) warmUp() {
-	for range int(r.Traffic.RatePerSecond * warmUpTime.Std().Seconds()) {
-		q := r.draw()
-		r.daemons[q.Daemon].classifier.Classify(moves.Observation{
-			Service: r.Service, Version: "old", Route: q.Route, Failed: q.Old.Failed, FirstToken: q.Old.FirstTokenMs, TokenGap: q.Old.GapMs,
-		}, true)
-	}
-}
-
 func (r *run) newEvidence(m moves.Method) *moves.Evidence {
-	e := &moves.Evidence{Service: r.Service, From: "old", To: "new", Method: m}
+	e := &moves.Evidence{Service: r.Service, From: "old", To: "new", Method: m, Criteria: moves.DefaultCriteria}
 	if r.short {
-		e.Method, e.SlowMargin = moves.ShortTest, moves.ShortMargin
+		e.Method, e.Criteria = moves.ShortTest, moves.ShortCriteria
 	}
 	return e
 }
@@ -410,11 +387,12 @@
 			r.result.Exposure = max(r.result.Exposure, float64(n)/float64(max(r.routeAll[route], 1)))
 		}
 	}
-	tally := d.classifier.Classify(o, o.Version == "old")
+	tally := o.Tally()
 	scope := moves.Scope{Service: o.Service, Version: o.Version, Route: o.Route, Account: o.Account}
 	d.evidence.Add(r.now, scope, tally)
 	r.delayed = append(r.delayed, report{scope: scope, tally: tally})
-	if o.Version == "new" && !d.stopped && tally != (moves.Tally{Requests: 1}) {
+	if o.Version == "new" && !d.stopped && d.evaluatedAt != r.now {
+		d.evaluatedAt = r.now
 		d.stopped = d.evidence.FindRegression() != nil
 	}
 }
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -2,41 +2,51 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 )
 
-func readAll(t *testing.T) map[string][]*Case {
-	t.Helper()
+// readAll reads all traces. It panics if there are none or one cannot be read.
+func readAll() map[string][]*Case {
 	files, err := filepath.Glob("../../traces/*.trace.jsonl")
 	if err != nil || len(files) == 0 {
-		t.Fatalf("no traces found, error %v", err)
+		panic(fmt.Sprintf("no traces found, error %v", err))
 	}
 	all := make(map[string][]*Case)
 	for _, file := range files {
 		f, err := os.Open(file)
 		if err != nil {
-			t.Fatal(err)
+			panic(err)
 		}
 		cases, err := Read(f)
 		f.Close()
 		if err != nil {
-			t.Fatalf("%s: %v", file, err)
+			panic(fmt.Sprintf("%s: %v", file, err))
 		}
 		all[filepath.Base(file)] = cases
 	}
 	return all
 }
 
+// results replays the traces once for all tests.
+var results = sync.OnceValue(func() map[string][]Result {
+	all := make(map[string][]Result)
+	for file, cases := range readAll() {
+		all[file] = RunAll(cases, Options{})
+	}
+	return all
+})
+
 // TestTracesReachExpectedOutcome replays all moves of each trace, with at least 20 healthy and 20
 // regressed versions. Healthy versions must finish in time. Regressed ones must be rolled back and
 // receive at most 2% of a route's requests before their first faulty response.
 func TestTracesReachExpectedOutcome(t *testing.T) {
-	for file, cases := range readAll(t) {
-		results := RunAll(cases, Options{})
-		for _, r := range results {
+	for file, list := range results() {
+		for _, r := range list {
 			if d := r.Mismatch(); d != "" {
 				t.Errorf("%s %s: %s", file, r.Case.Name, d)
 			}
@@ -44,7 +54,7 @@
 				t.Errorf("%s %s: got %.2f%% of a route's requests before the first faulty response, want at most 2%%", file, r.Case.Name, 100*r.Exposure)
 			}
 		}
-		s := Summarize(results)
+		s := Summarize(list)
 		if s.Healthy < 20 || s.Regressed < 20 {
 			t.Errorf("%s: got %d moves to healthy and %d to regressed versions, want at least 20 of each", file, s.Healthy, s.Regressed)
 		}
@@ -54,8 +64,8 @@
 // TestBadVersionsAreClearedInTime checks that a regressed version receives no request later than
 // ClearanceTarget after its first faulty response.
 func TestBadVersionsAreClearedInTime(t *testing.T) {
-	for file, cases := range readAll(t) {
-		for _, r := range RunAll(cases, Options{}) {
+	for file, list := range results() {
+		for _, r := range list {
 			if r.Case.Expect == "rolledBack" && r.Clearance > ClearanceTarget {
 				t.Errorf("%s %s: got %v from the first faulty response to the last request, want at most %v", file, r.Case.Name, r.Clearance, ClearanceTarget)
 			}
@@ -66,8 +76,8 @@
 // TestBadVersionsAreClearedAfter50Faults checks that a regressed version receives no request later
 // than ClearanceTarget after its 50th faulty response.
 func TestBadVersionsAreClearedAfter50Faults(t *testing.T) {
-	for file, cases := range readAll(t) {
-		for _, r := range RunAll(cases, Options{}) {
+	for file, list := range results() {
+		for _, r := range list {
 			if r.Case.Expect == "rolledBack" && r.After50 > ClearanceTarget {
 				t.Errorf("%s %s: got %v from the 50th faulty response to the last request, want at most %v", file, r.Case.Name, r.After50, ClearanceTarget)
 			}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -270,10 +270,9 @@
 
 // SampleToPB returns the message for the tally of one service version, route and account.
 func SampleToPB(s *moves.Sample) *peerpb.Sample {
-	failed, slowFirst, slowGap, short := s.Counts()
 	return &peerpb.Sample{
-		Service: s.Service, Version: s.Version, Route: s.Route, Account: s.Account,
-		Requests: s.Requests, Failed: failed, SlowFirst: slowFirst, SlowGap: slowGap, ShortAnswers: short,
+		Service: s.Service, Version: s.Version, Route: s.Route, Account: s.Account, Requests: s.Requests, Failed: s.Failed,
+		First: histogramToPB(&s.First), Gap: histogramToPB(&s.Gap), Length: histogramToPB(&s.Length),
 	}
 }
 
@@ -283,12 +282,26 @@
 	for _, m := range list {
 		samples = append(samples, moves.Sample{
 			Scope: moves.Scope{Service: m.GetService(), Version: m.GetVersion(), Route: m.GetRoute(), Account: m.GetAccount()},
-			Tally: moves.NewTally(m.GetRequests(), m.GetFailed(), m.GetSlowFirst(), m.GetSlowGap(), m.GetShortAnswers()),
+			Tally: moves.Tally{
+				Requests: m.GetRequests(), Failed: m.GetFailed(),
+				First: histogramFromPB(m.GetFirst()), Gap: histogramFromPB(m.GetGap()), Length: histogramFromPB(m.GetLength()),
+			},
 		})
 	}
 	return samples
 }
 
+func histogramToPB(h *moves.Histogram) *peerpb.Histogram {
+	if len(h.Counts) == 0 {
+		return nil
+	}
+	return &peerpb.Histogram{First: h.First, Counts: h.Counts}
+}
+
+func histogramFromPB(m *peerpb.Histogram) moves.Histogram {
+	return moves.Histogram{First: m.GetFirst(), Counts: m.GetCounts()}
+}
+
 func sectionToPB(s *state.Section) *peerpb.Section {
 	m := &peerpb.Section{Name: s.Name}
 	for _, v := range s.History {
