--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -285,6 +285,7 @@
 	x, p := a.exchange, a.proxy
 	defer r.Body.Close()
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
+	a.observeLimit(server, info)
 	if info.NotRun || info.Moved {
 		_, err := io.CopyN(io.Discard, r.Body, maxResponse)
 		a.complete = errors.Is(err, io.EOF)
@@ -315,6 +316,25 @@
 	return retry.Complete
 }
 
+// observeLimit logs a change of the limit that a server names in its answers.
+func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
+	p := a.proxy
+	p.mu.Lock()
+	old, known := p.namedLimits[server.ID]
+	switch {
+	case info.Limited && p.namedLimits == nil:
+		p.namedLimits = map[string]float64{server.ID: info.Limit}
+	case info.Limited:
+		p.namedLimits[server.ID] = info.Limit
+	default:
+		delete(p.namedLimits, server.ID)
+	}
+	p.mu.Unlock()
+	if info.Limited != known || info.Limit != old {
+		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit, "before", old)
+	}
+}
+
 // recordFirstResponse records the time of the first event or response.
 func (a *attempt) recordFirstResponse() {
 	x, p := a.exchange, a.proxy
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -76,6 +76,9 @@
 	Moved  bool
 	// Signed reports that a backend server produced the response.
 	Signed bool
+	// Limited reports that the server limits its requests, to Limit a second from all daemons together.
+	Limited bool
+	Limit   float64
 }
 
 // Dialect translates between the types of this package and the headers on the wire.
@@ -127,10 +130,12 @@
 	mu       sync.Mutex
 	monitor  moves.Monitor
 	services map[string]*ServiceState
-	limiter  quota.Limiter
-	counter  usage.Counter
-	requests sync.WaitGroup
-	inFlight atomic.Int64
+	// namedLimits has the request limits that backend servers named in their last answers, by server ID.
+	namedLimits map[string]float64
+	limiter     quota.Limiter
+	counter     usage.Counter
+	requests    sync.WaitGroup
+	inFlight    atomic.Int64
 }
 
 // ServiceState is the routing state of a service with its retry budget and counters.
