Turns: the request limit of a backend server is shared by all entry daemons

What callers and servers saw: a server that names a limit of about one request a second in its answers, over all entry daemons together, got 12 to 14 requests in 4 s. Cause: nothing read the limit; placement took the idle server for the best one, and each of seven daemons sent to it on its own. Class: a bound of the whole fleet at a server, decided by each daemon from what it sees itself.

Change: package turns. Time is divided into turns at the rate of the limit, and the turns belong to the entry daemons in rotation, by rank, number of daemons, limit and common clock; a daemon sends to the server in its own turns only. Daemons pass the limits that they see in answers to the leader with their load reports; its replies contain the limits that changed, at most 32, and the daemon's rank. A daemon that does not know its rank sends nothing to a limited server. Placement leaves out blocked servers (place.Query.Blocked). Whatever is sent again is chosen the same way.

Ruled out as the cause: further attempts (request lines of both servers in show single attempts).

--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -110,6 +110,7 @@
 		if c.table.ByID[id] == nil {
 			delete(c.announcedDirectly, id)
 			c.Source.Remove(id)
+			c.duties.limits.Forget(id)
 		}
 	}
 }
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -12,6 +12,7 @@
 	"swiftbeam/internal/pace"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/usage"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
@@ -43,6 +44,7 @@
 	services       map[string]*serviceState
 	reportedCounts map[string]demandCounts
 	evidence       moves.Aggregator
+	limits         turns.Registry
 	// calling contains the purposes for which calls to the cloud run now.
 	calling map[string]bool
 	// nextCallAt is the time of the next call that the rate of calls allows.
@@ -84,6 +86,7 @@
 	d.services, d.reportedCounts = nil, nil
 	d.evidence = moves.Aggregator{}
 	d.evidence.SetShortMoves()
+	d.limits = turns.Registry{}
 }
 
 // receiveReport processes the report of an entry daemon. Its cost does not depend on the number of
@@ -106,8 +109,9 @@
 		d.loads.Receive(now, name, reported)
 		out.Others, out.HasOthers = d.totals.others(now, &d.loads, name)
 	}
+	c.exchangeLimits(m, out)
 	out.PauseMs = int64(d.pacer.Count(now))
-	out.Entries = uint32(d.loads.Daemons(now))
+	out.Entries, out.Rank = uint32(d.loads.Daemons(now)), uint32(d.loads.Rank(name))
 	set := c.ruleSet.Load()
 	if set == nil {
 		return out
@@ -122,6 +126,22 @@
 	return out
 }
 
+// maxLimits bounds the request limits of servers in one message. Further ones follow in the next.
+const maxLimits = 32
+
+// exchangeLimits records the request limits of servers in a report, and adds those that changed since the
+// daemon's last one to the reply.
+func (c *Core) exchangeLimits(m *peerpb.TallyRequest, out *peerpb.TallyResponse) {
+	d := &c.duties
+	d.limits.Receive(wire.LimitsFromPB(m.GetLimits()))
+	known := m.GetLimitsKnown()
+	if m.GetTerm() != d.term {
+		known = 0
+	}
+	changed, number := d.limits.Since(known, maxLimits)
+	out.Limits, out.LimitsKnown, out.Term = wire.LimitsToPB(changed), number, d.term
+}
+
 // receiveCounts processes the usage counts, the evidence and the demand in a report.
 func (c *Core) receiveCounts(now clock.Instant, run string, m *peerpb.TallyRequest) {
 	d := &c.duties
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"swiftbeam/internal/runner"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -323,6 +324,7 @@
 			service = r.Service
 		}
 		e.Proxy.UpdateService(service, func(svc *proxy.ServiceState) { svc.Remove(id) })
+		e.Proxy.UpdateLimits(func(_ clock.Instant, limits *turns.Limiter) { limits.Forget(id) })
 		e.Pool.CloseIdle(s.Address)
 	}
 	for id, r := range usable {
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -11,6 +11,7 @@
 	"swiftbeam/internal/proxy"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/runner"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/usage"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
@@ -47,6 +48,10 @@
 	// interval is the time between complete reports, pause the minimum time between any two.
 	interval clock.Duration
 	pause    clock.Duration
+	// term is that of the leader that replied last, and limitsKnown the number of the last change of request
+	// limits that it sent.
+	term        uint64
+	limitsKnown uint64
 }
 
 func (e *Edge) runReports(ctx context.Context) {
@@ -167,7 +172,7 @@
 			e.log.Info("reporting to leader", "address", leader)
 		}
 		e.reporter.leader, e.reporter.confirmedLeader = leader, leader
-		e.applyReply(response.Msg)
+		e.applyReply(report, response.Msg)
 		if len(response.Msg.GetGrants()) > 0 {
 			return true
 		}
@@ -189,7 +194,11 @@
 		for _, s := range e.Proxy.Samples() {
 			m.Samples = append(m.Samples, wire.SampleToPB(&s))
 		}
+		m.Limits = wire.LimitsToPB(e.Proxy.UnsentLimits(maxLimits))
 	}
+	e.reporter.mu.Lock()
+	m.Term, m.LimitsKnown = e.reporter.term, e.reporter.limitsKnown
+	e.reporter.mu.Unlock()
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, counter *usage.Counter) {
 		for _, u := range limiter.TakeReport(now, accounts) {
 			m.Uses = append(m.Uses, wire.UseToPB(&u))
@@ -231,7 +240,10 @@
 	})
 }
 
-func (e *Edge) applyReply(m *peerpb.TallyResponse) {
+// maxLimits bounds the request limits of servers in one report. Further ones follow in the next.
+const maxLimits = 32
+
+func (e *Edge) applyReply(report *peerpb.TallyRequest, m *peerpb.TallyResponse) {
 	var grants []quota.Grant
 	for _, g := range m.GetGrants() {
 		grants = append(grants, wire.GrantFromPB(g))
@@ -244,7 +256,18 @@
 	e.reporter.mu.Lock()
 	e.reporter.interval = min(clock.Duration(reportIntervalPerEntry*float64(entries)), maxReportInterval)
 	e.reporter.pause = clock.Duration(m.GetPauseMs())
+	newLeader := e.reporter.term != m.GetTerm()
+	e.reporter.term, e.reporter.limitsKnown = m.GetTerm(), m.GetLimitsKnown()
 	e.reporter.mu.Unlock()
+	e.Proxy.UpdateLimits(func(now clock.Instant, limits *turns.Limiter) {
+		if newLeader {
+			limits.NewLeader()
+		} else {
+			limits.Sent(wire.LimitsFromPB(report.GetLimits()))
+		}
+		limits.Learn(wire.LimitsFromPB(m.GetLimits()))
+		limits.Join(now, turns.Member{Rank: int(m.GetRank()), Count: entries})
+	})
 	r := e.Settings.Retries
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
 		limiter.Entries = entries
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"container/list"
+	"maps"
 	"slices"
 
 	"swiftbeam/internal/place"
@@ -35,6 +36,8 @@
 	servers map[string]*total
 	// order contains the daemons in order of their last report, the oldest first.
 	order list.List
+	// ranks are the positions of the daemons in the order of their names; nil after a daemon came or went.
+	ranks map[string]int
 }
 
 type daemon struct {
@@ -61,6 +64,7 @@
 		d = &daemon{name: name}
 		d.element = s.order.PushBack(d)
 		s.daemons[name] = d
+		s.ranks = nil
 	}
 	s.subtract(d)
 	d.reportedAt, d.servers = now, servers
@@ -83,6 +87,17 @@
 	return len(s.daemons)
 }
 
+// Rank returns the position of a daemon among those that reported within Timeout, from 0.
+func (s *Sums) Rank(name string) int {
+	if s.ranks == nil {
+		s.ranks = make(map[string]int, len(s.daemons))
+		for i, n := range slices.Sorted(maps.Keys(s.daemons)) {
+			s.ranks[n] = i
+		}
+	}
+	return s.ranks[name]
+}
+
 // ReportedAt returns the time of a daemon's last report; zero if there is none within Timeout.
 func (s *Sums) ReportedAt(name string) clock.Instant {
 	if d := s.daemons[name]; d != nil {
@@ -125,6 +140,7 @@
 		s.subtract(d)
 		s.order.Remove(e)
 		delete(s.daemons, d.name)
+		s.ranks = nil
 	}
 }
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -107,10 +107,16 @@
 	Avoid []string
 	// Versions reports whether servers of a version may be chosen; nil allows all.
 	Versions func(version string) bool
+	// Blocked reports whether a server must not be chosen now; nil blocks none.
+	Blocked func(*Server) bool
 	// Draw is a random number that spreads requests over servers with similar scores.
 	Draw uint64
 }
 
+func (q *Query) excludes(s *Server) bool {
+	return q.Versions != nil && !q.Versions(s.Version) || q.Blocked != nil && q.Blocked(s)
+}
+
 // Choice is a server with the expected time to its first response in milliseconds.
 type Choice struct {
 	Server *Server
@@ -197,7 +203,7 @@
 	lowest := math.Inf(1)
 	mayEject := s.mayEject(q.Now)
 	for i, server := range s.Servers {
-		if q.Versions != nil && !q.Versions(server.Version) || slices.Contains(q.Avoid, server.ID) {
+		if q.excludes(server) || slices.Contains(q.Avoid, server.ID) {
 			continue
 		}
 		if mayEject && server.ejected(q.Now) {
@@ -288,7 +294,7 @@
 	seed := stableHash(q.Parts[len(q.Parts)-2].ID)
 	var highest, next uint64
 	for _, server := range s.Servers {
-		if server.ejected(q.Now) || q.Versions != nil && !q.Versions(server.Version) {
+		if server.ejected(q.Now) || q.excludes(server) {
 			continue
 		}
 		mix := (seed ^ server.hash) * 0x9e3779b97f4a7c15
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -13,6 +13,7 @@
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
+	"swiftbeam/internal/turns"
 	"swiftbeam/pkg/clock"
 )
 
@@ -144,13 +145,19 @@
 	if choice.Server == nil && x.allowFallback(service.Rollout) {
 		choice = service.Choose(x.query())
 	}
+	if choice.Server != nil {
+		p.limits.Take(p.ClusterTime(), choice.Server.ID)
+	}
 	return choice
 }
 
 func (x *exchange) query() *place.Query {
+	p := x.proxy
+	now := p.ClusterTime()
 	return &place.Query{
-		Now: x.proxy.Clock.Now(), Zone: x.proxy.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
+		Now: p.Clock.Now(), Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
 		Avoid: x.tried, Versions: x.allowVersion, Draw: rand.Uint64(),
+		Blocked: func(s *place.Server) bool { return !p.limits.Allows(now, s.ID) },
 	}
 }
 
@@ -316,22 +323,18 @@
 	return retry.Complete
 }
 
-// observeLimit logs a change of the limit that a server names in its answers.
+// observeLimit records the request limit that a server names in its answers. An answer without a limit
+// ends it, unless the server may not have written it.
 func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
+	if info.Moved || !info.Limited && !info.Signed {
+		return
+	}
 	p := a.proxy
 	p.mu.Lock()
-	old, known := p.namedLimits[server.ID]
-	switch {
-	case info.Limited && p.namedLimits == nil:
-		p.namedLimits = map[string]float64{server.ID: info.Limit}
-	case info.Limited:
-		p.namedLimits[server.ID] = info.Limit
-	default:
-		delete(p.namedLimits, server.ID)
-	}
+	changed := p.limits.Observe(turns.Limit{Server: server.ID, Limited: info.Limited, PerSecond: info.Limit, ObservedAt: p.ClusterTime()})
 	p.mu.Unlock()
-	if info.Limited != known || info.Limit != old {
-		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit, "before", old)
+	if changed {
+		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/usage"
 	"swiftbeam/pkg/clock"
 )
@@ -130,12 +131,11 @@
 	mu       sync.Mutex
 	monitor  moves.Monitor
 	services map[string]*ServiceState
-	// namedLimits has the request limits that backend servers named in their last answers, by server ID.
-	namedLimits map[string]float64
-	limiter     quota.Limiter
-	counter     usage.Counter
-	requests    sync.WaitGroup
-	inFlight    atomic.Int64
+	limits   turns.Limiter
+	limiter  quota.Limiter
+	counter  usage.Counter
+	requests sync.WaitGroup
+	inFlight atomic.Int64
 }
 
 // ServiceState is the routing state of a service with its retry budget and counters.
@@ -245,6 +245,21 @@
 	})
 }
 
+// UpdateLimits calls change with the time that the daemons agree on and the request limits of servers,
+// while the proxy's lock is held.
+func (p *Proxy) UpdateLimits(change func(now clock.Instant, limits *turns.Limiter)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p.ClusterTime(), &p.limits)
+}
+
+// UnsentLimits returns up to n request limits of servers that the leader does not have yet.
+func (p *Proxy) UnsentLimits(n int) []turns.Limit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits.Unsent(p.ClusterTime(), n)
+}
+
 // WithState calls use with all mutable state while the proxy's lock is held.
 func (p *Proxy) WithState(use func(services map[string]*ServiceState, limiter *quota.Limiter, counter *usage.Counter)) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/turns/turns.go
@@ -0,0 +1,290 @@
+// Package turns shares the request limit of a backend server among all entry daemons. Time is divided into
+// turns, as many a second as the server takes requests, and the turns belong to the daemons in rotation.
+// In its turn, a daemon may send one request to the server:
+//
+//	limiter := &turns.Limiter{}
+//	limiter.Join(now, turns.Member{Rank: 3, Count: 7})
+//	limiter.Observe(turns.Limit{Server: "i-7", Limited: true, PerSecond: 1.2, ObservedAt: now})
+//	if limiter.Allows(now, "i-7") {
+//		limiter.Take(now, "i-7")
+//	}
+//
+// Daemons need no message for a request: they agree on the time, on the limit, and on their ranks. The
+// leader passes on limits, with a Registry, and ranks. The sum stays near the limit with six daemons and
+// with hundreds, of which each sends a request in minutes: an equal share for each of them, with a burst of
+// one request, would be a burst of hundreds at the server.
+package turns
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"swiftbeam/pkg/clock"
+)
+
+// Limit is what a backend server last said of its limit.
+type Limit struct {
+	Server string
+	// Limited reports whether there is a limit; PerSecond is the number of requests a second from all
+	// daemons together.
+	Limited   bool
+	PerSecond float64
+	// ObservedAt is the time of the answer that contained the limit, by the clock that the daemons agree on.
+	ObservedAt clock.Instant
+}
+
+// same reports whether o contains the same limit, observed at any time.
+func (l *Limit) same(o *Limit) bool { return l.Limited == o.Limited && l.PerSecond == o.PerSecond }
+
+// Member is the position of a daemon among all entry daemons. Without a count, it has no turns.
+type Member struct {
+	Rank  int
+	Count int
+}
+
+// Limiter is one daemon's knowledge of limits and its use of turns. The zero value is ready to use. It is
+// not safe for concurrent use.
+type Limiter struct {
+	member   Member
+	byServer map[string]*limited
+}
+
+// limited is the state of one server.
+type limited struct {
+	Limit
+	// usedUntil is the end of the last turn that was used, in milliseconds.
+	usedUntil float64
+	// unsent is set while the leader has not received the observation; sentAt is its time otherwise.
+	unsent bool
+	sentAt clock.Instant
+}
+
+const (
+	// carriedTurns and carriedTime define how long a turn may be used: the time of carriedTurns turns, and
+	// carriedTime. Longer would lose fewer turns where requests are rare, but allow larger bursts.
+	carriedTurns = 3
+	carriedTime  = 400 * clock.Millisecond
+	// minPerSecond is assumed for lower limits, so that some request finds out when the limit has ended.
+	minPerSecond = 0.1
+	// refreshInterval is the interval at which an unchanged limit is passed on.
+	refreshInterval = 5 * clock.Second
+	// liftedRetention is the time for which the end of a limit is remembered, longer than an earlier
+	// observation of the limit can take to arrive.
+	liftedRetention = 30 * clock.Second
+)
+
+// Join sets the daemon's position. Turns from before a change are not used, as they may have belonged to
+// another daemon.
+func (m *Limiter) Join(now clock.Instant, member Member) {
+	if m.member == member {
+		return
+	}
+	m.member = member
+	for _, s := range m.byServer {
+		s.startAt(now)
+	}
+}
+
+// Observe records what a server said in an answer to this daemon. It reports whether the limit changed.
+func (m *Limiter) Observe(l Limit) bool {
+	changed := m.merge(l)
+	if s := m.byServer[l.Server]; s != nil && s.ObservedAt == l.ObservedAt && (changed || l.ObservedAt.Sub(s.sentAt) >= refreshInterval) {
+		s.unsent = true
+	}
+	return changed
+}
+
+// Learn records limits that other daemons observed.
+func (m *Limiter) Learn(list []Limit) {
+	for _, l := range list {
+		m.merge(l)
+	}
+}
+
+func (m *Limiter) merge(l Limit) (changed bool) {
+	s := m.byServer[l.Server]
+	switch {
+	case s == nil && !l.Limited:
+		return false
+	case s == nil:
+		if m.byServer == nil {
+			m.byServer = make(map[string]*limited)
+		}
+		s = &limited{Limit: Limit{Server: l.Server}}
+		m.byServer[l.Server] = s
+	case !l.ObservedAt.After(s.ObservedAt):
+		return false
+	}
+	changed = !s.same(&l)
+	s.Limit = l
+	if changed {
+		s.startAt(l.ObservedAt)
+	}
+	return changed
+}
+
+// startAt gives up the turns that began before a time. A change of the limit or of the ranks numbers the
+// turns anew, and each daemon would otherwise find some of the last ones to be its own.
+func (s *limited) startAt(now clock.Instant) { s.usedUntil = max(s.usedUntil, float64(now)) }
+
+// Forget removes a server that receives no more requests.
+func (m *Limiter) Forget(server string) { delete(m.byServer, server) }
+
+// Allows reports whether this daemon may send a request to a server now.
+func (m *Limiter) Allows(now clock.Instant, server string) bool {
+	s := m.byServer[server]
+	if s == nil || !s.Limited {
+		return true
+	}
+	_, ok := m.turn(now, s)
+	return ok
+}
+
+// Take uses up the turn for a request. Call it only after Allows.
+func (m *Limiter) Take(now clock.Instant, server string) {
+	s := m.byServer[server]
+	if s == nil || !s.Limited {
+		return
+	}
+	if turn, ok := m.turn(now, s); ok {
+		s.usedUntil = (turn + 1) / s.rate()
+	}
+}
+
+// Wait returns the time until this daemon's next turn at a server; zero if it may send now.
+func (m *Limiter) Wait(now clock.Instant, server string) clock.Duration {
+	s := m.byServer[server]
+	if m.Allows(now, server) {
+		return 0
+	}
+	if m.member.Count == 0 {
+		return refreshInterval
+	}
+	next := m.ownedFrom(s, math.Floor(float64(now)*s.rate())+1)
+	return clock.Duration(next/s.rate() - float64(now))
+}
+
+// turn returns the first turn of this daemon that may be used now.
+func (m *Limiter) turn(now clock.Instant, s *limited) (float64, bool) {
+	if m.member.Count == 0 {
+		return 0, false
+	}
+	rate := s.rate()
+	current := math.Floor(float64(now) * rate)
+	carried := math.Floor(carriedTurns + float64(carriedTime)*rate)
+	first := max(current-carried+1, math.Ceil(s.usedUntil*rate-rounding))
+	turn := m.ownedFrom(s, first)
+	return turn, turn <= current
+}
+
+// rounding is far above the error of usedUntil in turns.
+const rounding = 1e-3
+
+// ownedFrom returns the first turn from a number on that belongs to this daemon.
+func (m *Limiter) ownedFrom(s *limited, first float64) float64 {
+	count := float64(m.member.Count)
+	offset := math.Mod(first+float64(serverOffset(s.Server)), count)
+	return first + math.Mod(float64(m.member.Rank)-offset+count, count)
+}
+
+// serverOffset makes the turns at different servers belong to different daemons.
+func serverOffset(server string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(server))
+	return h.Sum32()
+}
+
+// rate returns the number of turns in a millisecond.
+func (l *Limit) rate() float64 { return max(l.PerSecond, minPerSecond) / float64(clock.Second) }
+
+// Unsent returns up to n limits that the leader does not have yet.
+func (m *Limiter) Unsent(now clock.Instant, n int) []Limit {
+	var list []Limit
+	for server, s := range m.byServer {
+		switch {
+		case s.unsent && len(list) < n:
+			list = append(list, s.Limit)
+		case !s.unsent && !s.Limited && now.Sub(s.ObservedAt) > liftedRetention:
+			delete(m.byServer, server)
+		}
+	}
+	return list
+}
+
+// Sent records that the leader received limits.
+func (m *Limiter) Sent(list []Limit) {
+	for _, l := range list {
+		if s := m.byServer[l.Server]; s != nil && s.ObservedAt == l.ObservedAt {
+			s.unsent, s.sentAt = false, l.ObservedAt
+		}
+	}
+}
+
+// NewLeader makes the next reports contain all limits, as a new leader knows none.
+func (m *Limiter) NewLeader() {
+	for _, s := range m.byServer {
+		s.unsent = true
+	}
+}
+
+// Registry is the leader's record of the limits that daemons reported. The zero value is ready to use. It
+// is not safe for concurrent use.
+type Registry struct {
+	byServer map[string]*registered
+	// last is the number of the last change.
+	last uint64
+}
+
+type registered struct {
+	Limit
+	number   uint64
+	passedOn clock.Instant
+}
+
+// Receive records limits. Of two observations of a server, the later one wins.
+func (r *Registry) Receive(list []Limit) {
+	for _, l := range list {
+		s := r.byServer[l.Server]
+		if s == nil {
+			if r.byServer == nil {
+				r.byServer = make(map[string]*registered)
+			}
+			s = &registered{}
+			r.byServer[l.Server] = s
+		} else if !l.ObservedAt.After(s.ObservedAt) {
+			continue
+		}
+		changed := s.number == 0 || !s.same(&l) || l.ObservedAt.Sub(s.passedOn) >= refreshInterval
+		s.Limit = l
+		if changed {
+			r.last++
+			s.number, s.passedOn = r.last, l.ObservedAt
+		}
+	}
+}
+
+// Since returns up to n limits that changed after a change number, in order, and the number of the last
+// one. Its cost grows with the number of limited servers only when something has changed.
+func (r *Registry) Since(number uint64, n int) ([]Limit, uint64) {
+	if number >= r.last {
+		return nil, r.last
+	}
+	var changed []*registered
+	for _, s := range r.byServer {
+		if s.number > number {
+			changed = append(changed, s)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *registered) int { return cmp.Compare(a.number, b.number) })
+	list := make([]Limit, 0, min(len(changed), n))
+	for _, s := range changed[:min(len(changed), n)] {
+		list = append(list, s.Limit)
+		number = s.number
+	}
+	return list, number
+}
+
+// Forget removes a server that has left the deployment.
+func (r *Registry) Forget(server string) { delete(r.byServer, server) }
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -5,6 +5,7 @@
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/quota"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
@@ -47,6 +48,24 @@
 	return loads.Server{ID: m.GetId(), Load: place.Load{Requests: int(m.GetRequests()), Prefill: int(m.GetPrefill()), Memory: int(m.GetMemory())}}
 }
 
+// LimitsToPB returns the messages for request limits of backend servers.
+func LimitsToPB(list []turns.Limit) []*peerpb.ServerLimit {
+	messages := make([]*peerpb.ServerLimit, 0, len(list))
+	for _, l := range list {
+		messages = append(messages, &peerpb.ServerLimit{Id: l.Server, Limited: l.Limited, PerSecond: l.PerSecond, ObservedAt: int64(l.ObservedAt)})
+	}
+	return messages
+}
+
+// LimitsFromPB returns the request limits in messages.
+func LimitsFromPB(messages []*peerpb.ServerLimit) []turns.Limit {
+	list := make([]turns.Limit, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, turns.Limit{Server: m.GetId(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), ObservedAt: clock.Instant(m.GetObservedAt())})
+	}
+	return list
+}
+
 // UseToPB returns the message for the use of a quota.
 func UseToPB(u *quota.Use) *peerpb.AccountUse {
 	return &peerpb.AccountUse{Account: u.Account, Wanted: u.Requested[:], Held: u.Unspent[:], Spent: u.Spent, Total: u.Total, Lease: u.Lease}
