Proxy: a server that says in its answers that it leaves gets no more requests

Some servers say only there that they leave, or say it before their announcement. Another start of the server, told by its announcement, is a new server to placement: before, one that started again under its ID and address kept the record of its predecessor.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -315,7 +315,7 @@
 	}
 	for id, s := range e.routedServers {
 		r := e.table.ByID[id]
-		if usable[id] != nil && usable[id].Address == s.Address {
+		if u := usable[id]; u != nil && u.Address == s.Address && u.Born == s.Born {
 			continue
 		}
 		delete(e.routedServers, id)
@@ -331,7 +331,7 @@
 		if e.routedServers[id] != nil {
 			continue
 		}
-		s := &place.Server{ID: id, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Spot: r.Spot}
+		s := &place.Server{ID: id, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Spot: r.Spot, Born: r.Born}
 		e.routedServers[id] = s
 		e.Proxy.UpdateService(r.Service, func(svc *proxy.ServiceState) { svc.Add(s) })
 	}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -45,6 +45,10 @@
 	Version string
 	Slots   int
 	Spot    bool
+	// Born is the start time of the server; another start is another Server.
+	Born clock.Instant
+	// Leaving is set when the server has said that it leaves. It is not chosen any more.
+	Leaving bool
 	Local   Load
 	Remote  Load
 	// FailureRate is the moving average of the fraction of failed requests, from 0 to 1.
@@ -114,7 +118,7 @@
 }
 
 func (q *Query) excludes(s *Server) bool {
-	return q.Versions != nil && !q.Versions(s.Version) || q.Blocked != nil && q.Blocked(s)
+	return s.Leaving || q.Versions != nil && !q.Versions(s.Version) || q.Blocked != nil && q.Blocked(s)
 }
 
 // Choice is a server with the expected time to its first response in milliseconds.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -292,7 +292,10 @@
 	x, p := a.exchange, a.proxy
 	defer r.Body.Close()
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
-	a.observeLimit(server, info)
+	if !info.Moved {
+		a.observeLeaving(server, info)
+		a.observeLimit(server, info)
+	}
 	if info.NotRun || info.Moved {
 		_, err := io.CopyN(io.Discard, r.Body, maxResponse)
 		a.complete = errors.Is(err, io.EOF)
@@ -323,10 +326,27 @@
 	return retry.Complete
 }
 
+// observeLeaving ends the use of a server that says in its answers that it leaves. Its announcements may
+// say so later or never.
+func (a *attempt) observeLeaving(server *place.Server, info ResponseInfo) {
+	if !info.Leaving {
+		return
+	}
+	p := a.proxy
+	p.mu.Lock()
+	known := server.Leaving
+	server.Leaving = true
+	p.mu.Unlock()
+	if !known {
+		p.Log.Info("backend server leaves, by its answer", "id", a.request.ID, "server", server.ID, "address", server.Address)
+		p.Pool.CloseIdle(server.Address)
+	}
+}
+
 // observeLimit records the request limit that a server names in its answers. An answer without a limit
 // ends it, unless the server may not have written it.
 func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
-	if info.Moved || !info.Limited && !info.Signed {
+	if !info.Limited && !info.Signed {
 		return
 	}
 	p := a.proxy
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -77,6 +77,8 @@
 	Moved  bool
 	// Signed reports that a backend server produced the response.
 	Signed bool
+	// Leaving reports that the server drains and takes no new requests.
+	Leaving bool
 	// Limited reports that the server limits its requests, to Limit a second from all daemons together.
 	Limited bool
 	Limit   float64
