Proxy: a server that rejects a request with a time gets nothing for that time

The time was ignored, and an idle server that rejects everything looks like the best one. Now the daemon that got the answer does not choose the server until the time has passed. When all servers of a request want none, by such a time or by their limits, the request is refused at once as not run, with the time until the first of them takes requests again, spread over a quarter of it so that callers do not return together; before, it was 0.5 s.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -101,6 +101,10 @@
 	case retry.Forward:
 		x.sendSavedResponse(a)
 	case retry.Refuse:
+		if wait, ok := x.untilServer(); ok {
+			x.refuse("the servers take no requests now", clock.Duration(float64(wait)*(1+returnSpread*rand.Float64())))
+			return
+		}
 		x.refuse(message, noServerRetryAfter)
 	default:
 		if x.saved != nil {
@@ -111,6 +115,33 @@
 	}
 }
 
+// returnSpread is the fraction of a waiting time over which callers are spread, so that those that were
+// refused together do not return together.
+const returnSpread = 0.25
+
+// untilServer returns the time until a server takes requests again. It reports false if there is another
+// reason than pauses and limits of the servers for which none was chosen.
+func (x *exchange) untilServer() (clock.Duration, bool) {
+	p := x.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, clusterTime := p.Clock.Now(), p.ClusterTime()
+	shortest, found := clock.Duration(0), false
+	for _, s := range p.serviceState(x.service).Servers {
+		if s.Leaving || x.allowVersion != nil && !x.allowVersion(s.Version) {
+			continue
+		}
+		wait := max(s.PausedUntil.Sub(now), p.limits.Wait(clusterTime, s.ID))
+		if wait <= 0 {
+			return 0, false
+		}
+		if !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
 // mayRetry checks the time, the attempts of the route and the retry budget. After an attempt of which no
 // byte was sent it checks neither the route's attempts nor the budget; after a Moved one, only the budget.
 func (x *exchange) mayRetry(a retry.Attempt) bool {
@@ -294,6 +325,7 @@
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
 	if !info.Moved {
 		a.observeLeaving(server, info)
+		a.observePause(server, info)
 		a.observeLimit(server, info)
 	}
 	if info.NotRun || info.Moved {
@@ -343,6 +375,18 @@
 	}
 }
 
+// observePause keeps requests from a server for the time that it asks for.
+func (a *attempt) observePause(server *place.Server, info ResponseInfo) {
+	if info.RetryAfter == 0 {
+		return
+	}
+	p := a.proxy
+	p.mu.Lock()
+	server.PausedUntil = max(server.PausedUntil, p.Clock.Now().Add(info.RetryAfter))
+	p.mu.Unlock()
+	p.Log.Info("backend server wants no requests", "id", a.request.ID, "server", server.ID, "forMs", int64(info.RetryAfter))
+}
+
 // observeLimit records the request limit that a server names in its answers. An answer without a limit
 // ends it, unless the server may not have written it.
 func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -79,6 +79,8 @@
 	Signed bool
 	// Leaving reports that the server drains and takes no new requests.
 	Leaving bool
+	// RetryAfter is the time for which the server wants no requests from this daemon; zero for none.
+	RetryAfter clock.Duration
 	// Limited reports that the server limits its requests, to Limit a second from all daemons together.
 	Limited bool
 	Limit   float64
