--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -263,11 +263,25 @@
 	}
 	if ctx.Err() == nil {
 		a.proxy.Log.Info("attempt failed", "id", a.request.ID, "server", server.ID, "what", message, "error", err.Error(),
-			"reused", a.conn.Reused, "events", a.eventCount)
+			"reused", a.conn.Reused, "events", a.eventCount, "account", a.accountName(), "parts", a.sharedParts())
 	}
 	return retry.Incomplete
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedParts returns the IDs of the first parts of the prompt, without the last part, which other requests
+// do not have.
+func (x *exchange) sharedParts() []string {
+	parts := x.request.Parts
+	ids := make([]string, 0, maxLoggedParts)
+	for i := 0; i < min(len(parts)-1, maxLoggedParts); i++ {
+		ids = append(ids, parts[i].ID)
+	}
+	return ids
+}
+
 // requestHead returns the request line and the headers as they are sent.
 func (a *attempt) requestHead(server *place.Server) []byte {
 	x, p := a.exchange, a.proxy
