Proxy, core: requests with a part that crashes servers are blocked

Cause: nothing compared the requests under which servers ended. Each daemon took each end for a crash of the server and sent the next such request to another one. Class: a fault of the input taken for a fault of the server, by daemons that each see a part of it.

Change: package crash decides. Entry daemons check a server whose connection broke (it refuses new ones), report its end with the traits of the requests that had just begun, at once, and repeat the report for 5 s. The leader commits new evidence to the replicated state, where the table blocks traits; the feed sends listed traits to the entry daemons as differences by revision. A blocked request is refused at once as not run, with the time until the next trial. A request with a trait of several ends is not sent to a second server after its server has ended.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -44,8 +44,11 @@
 	soldOutUntil map[string]clock.Instant
 	longTokens   [2]window.Sliding
 	shortTokens  [2]window.Sliding
-	// requests counts the requests within longSpan.
-	requests  window.Sliding
+	// requests counts the requests within longSpan, sent the attempts that were sent to servers.
+	requests window.Sliding
+	sent     window.Sliding
+	// completed is the number of attempts that servers completed since the service is known.
+	completed uint64
 	createdAt clock.Instant
 	// initialReplicas is the number of replicas when the leader first decided on the service and
 	// found any, and initialAt the time of that decision.
@@ -66,7 +69,7 @@
 }
 
 // demandCounts are the last cumulative counts that an entry daemon reported for a service.
-type demandCounts struct{ prefill, output, requests uint64 }
+type demandCounts struct{ prefill, output, requests, sent, completed uint64 }
 
 func (d *dutyState) service(now clock.Instant, service string) *serviceState {
 	if d.services == nil {
@@ -75,7 +78,7 @@
 	m := d.services[service]
 	if m == nil {
 		m = &serviceState{ordered: make(map[replicaKind]acceptedOrder), soldOutUntil: make(map[string]clock.Instant), createdAt: now}
-		m.requests.Span = longSpan
+		m.requests.Span, m.sent.Span = longSpan, longSpan
 		for i := range m.longTokens {
 			m.longTokens[i].Span, m.shortTokens[i].Span = longSpan, shortSpan
 		}
@@ -92,7 +95,9 @@
 	for _, s := range list {
 		key := run + "/" + s.GetService()
 		last, known := d.reportedCounts[key]
-		d.reportedCounts[key] = demandCounts{prefill: s.GetPrefill(), output: s.GetOutput(), requests: s.GetRequests()}
+		d.reportedCounts[key] = demandCounts{
+			prefill: s.GetPrefill(), output: s.GetOutput(), requests: s.GetRequests(), sent: s.GetSent(), completed: s.GetCompleted(),
+		}
 		if !known {
 			continue
 		}
@@ -102,6 +107,8 @@
 			m.shortTokens[i].Add(now, float64(n))
 		}
 		m.requests.Add(now, float64(s.GetRequests()-last.requests))
+		m.sent.Add(now, float64(s.GetSent()-last.sent))
+		m.completed += s.GetCompleted() - last.completed
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,8 @@
 	httpServers []*http.Server
 	commitTimes metrics.Histogram
 
+	crashes crashQueue
+
 	mu    sync.Mutex
 	table enrol.Table
 	// announcedDirectly contains the IDs of the servers whose last announcement was received by this
@@ -121,6 +123,7 @@
 	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool)}
 	c.started = c.clock.Now()
 	c.duties.tenure.Start(c.started)
+	c.crashes.added = make(chan struct{}, 1)
 	c.SetSeeds(s.Seeds)
 	c.Net = peers.New(peers.Options{Token: s.PeerToken})
 	c.Store = &store.Store{
@@ -141,7 +144,7 @@
 	}
 	c.joiner.OnCaughtUp = c.refresh
 	wallClock := &feed.WallClock{Clock: c.clock, Log: c.log}
-	c.Source = &feed.Source{Clock: c.clock, WallClock: wallClock, SharedState: c.sharedState}
+	c.Source = &feed.Source{Clock: c.clock, WallClock: wallClock, SharedState: c.sharedState, CrashChanges: c.crashChanges}
 	c.Follower = &feed.Follower{
 		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, WallClock: wallClock, Log: c.log, Client: c.Net.FeedClient,
 		Seeds: c.otherCores, OnEvent: c.receiveEvent,
@@ -208,6 +211,7 @@
 	c.tasks.Go(func() { c.joiner.Run(ctx) })
 	c.tasks.Go(func() { c.Follower.Run(ctx) })
 	c.tasks.Go(func() { c.watchState(ctx) })
+	c.tasks.Go(func() { c.recordCrashes(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, stepInterval, func() { c.stepRollouts(ctx) }) })
@@ -304,6 +308,7 @@
 			copied := *r
 			out.Rollouts = append(out.Rollouts, &copied)
 		}
+		out.Crashes = s.Crashes.Revision
 	})
 	return out
 }
--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -7,6 +7,7 @@
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/window"
 	"swiftbeam/pkg/clock"
 )
 
@@ -87,12 +88,15 @@
 
 // requestRate returns the service's requests per second, averaged over longSpan, or zero if it is not
 // known yet.
-func (m *serviceState) requestRate(now clock.Instant) float64 {
+func (m *serviceState) requestRate(now clock.Instant) float64 { return m.rate(now, &m.requests) }
+
+// rate returns the rate per second of what is counted within longSpan, or zero if it is not known yet.
+func (m *serviceState) rate(now clock.Instant, counted *window.Sliding) float64 {
 	span := min(longSpan, now.Sub(m.createdAt))
 	if span < minRateSpan {
 		return 0
 	}
-	return m.requests.Sum(now) / span.Std().Seconds()
+	return counted.Sum(now) / span.Std().Seconds()
 }
 
 // rolloutInputs counts the ready servers of the new and the old version of a rollout, and the requests
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/meter"
@@ -112,11 +113,13 @@
 		RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure),
 		Retries: retry.Budget{Ratio: retryBudgetFraction * s.Retries.Ratio, Slack: retryBudgetFraction * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
+	e.Proxy.ReportCrashes = e.triggerReport
 	e.Proxy.SetWindows(s.Duties.UsageWindow, s.Quota.Window)
 	e.Follower = &feed.Follower{
 		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, WallClock: &feed.WallClock{Clock: e.clock, Log: o.Log}, Log: o.Log, Client: e.Net.FeedClient,
 		Seeds: func() []string { return *e.seeds.Load() }, OnEvent: e.receiveEvent,
 	}
+	e.Proxy.UpdateCrashes(func(_ clock.Instant, watch *crash.Watch) { watch.Daemon = s.Name + "/" + e.boot })
 	e.reporter.trigger = make(chan struct{}, 1)
 	if o.Metrics != nil {
 		e.registerMetrics(o.Metrics)
@@ -131,7 +134,7 @@
 	c := &e.Proxy.Counts
 	for name, counter := range map[string]*atomic.Int64{
 		"entry.requests": &c.Requests, "entry.refused": &c.Refused, "entry.failed": &c.Failed, "entry.attempts": &c.Attempts,
-		"entry.cut": &c.Truncated, "entry.abandoned": &c.Abandoned, "entry.events": &c.Events, "entry.connectionsOpened": &e.Pool.Opened,
+		"entry.blocked": &c.Blocked, "entry.cut": &c.Truncated, "entry.abandoned": &c.Abandoned, "entry.events": &c.Events, "entry.connectionsOpened": &e.Pool.Opened,
 	} {
 		meter.RegisterGauge(r, name, counter.Load)
 	}
@@ -236,11 +239,29 @@
 	for _, m := range event.GetRollouts() {
 		e.applyRollout(wire.RolloutFromPB(m))
 	}
+	if c := event.GetCrashes(); c != nil {
+		e.applyCrashes(wire.CrashChangesFromPB(c))
+	}
 	if len(event.GetServers()) > 0 {
 		e.mergeServers(event.GetServers())
 	}
 }
 
+// applyCrashes applies changes of the traits of requests that crash servers.
+func (e *Edge) applyCrashes(c crash.Changes) {
+	e.Proxy.UpdateCrashes(func(_ clock.Instant, watch *crash.Watch) {
+		changed, removed := watch.Learn(&c)
+		for i := range changed {
+			r := &changed[i]
+			e.log.Info("requests suspected of crashing servers", "service", r.Service, "name", r.Name, "trait", r.Trait.String(), "blocked", r.Blocked(),
+				"trials", r.Trials, "nextTrial", r.NextTrial.String(), "revision", r.Revision)
+		}
+		for i := range removed {
+			e.log.Info("requests cleared of crashing servers", "service", removed[i].Service, "name", removed[i].Name, "trait", removed[i].Trait.String(), "revision", c.Revision)
+		}
+	})
+}
+
 // applyRollout applies a rollout if its revision is newer than the current one.
 func (e *Edge) applyRollout(r *state.Rollout) {
 	e.Proxy.UpdateService(r.Service, func(svc *proxy.ServiceState) {
@@ -323,7 +344,11 @@
 		if r != nil {
 			service = r.Service
 		}
-		e.Proxy.UpdateService(service, func(svc *proxy.ServiceState) { svc.Remove(id) })
+		e.Proxy.UpdateService(service, func(svc *proxy.ServiceState) {
+			svc.Remove(id)
+			// The end of a server that was going to leave proves nothing about its requests.
+			s.Leaving = s.Leaving || r != nil && r.State >= enrol.Leaving
+		})
 		e.Proxy.UpdateLimits(func(_ clock.Instant, limits *turns.Limiter) { limits.Forget(id) })
 		e.Pool.CloseIdle(s.Address)
 	}
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/proxy"
@@ -126,10 +127,7 @@
 	e.reporter.wait(account)
 	grantReceived := e.reporter.grantReceived
 	e.reporter.mu.Unlock()
-	select {
-	case e.reporter.trigger <- struct{}{}:
-	default:
-	}
+	e.triggerReport()
 	select {
 	case <-grantReceived:
 		return true
@@ -138,6 +136,14 @@
 	}
 }
 
+// triggerReport requests a report before its interval has passed.
+func (e *Edge) triggerReport() {
+	select {
+	case e.reporter.trigger <- struct{}{}:
+	default:
+	}
+}
+
 // sendReport sends a report to the leader and applies the reply. With accounts, the report only requests
 // quota for them, unless a complete report is due. It reports whether the leader granted quota.
 func (e *Edge) sendReport(ctx context.Context, accounts map[string]bool) bool {
@@ -195,6 +201,10 @@
 			m.Samples = append(m.Samples, wire.SampleToPB(&s))
 		}
 		m.Limits = wire.LimitsToPB(e.Proxy.UnsentLimits(maxLimits))
+		e.Proxy.UpdateCrashes(func(now clock.Instant, watch *crash.Watch) {
+			evidence := watch.Report(now)
+			m.Crashes = wire.EvidenceToPB(&evidence)
+		})
 	}
 	e.reporter.mu.Lock()
 	m.Term, m.LimitsKnown = e.reporter.term, e.reporter.limitsKnown
@@ -219,7 +229,7 @@
 			}
 		}
 		m.Demands = append(m.Demands, &peerpb.ServiceDemand{
-			Service: name, Prefill: svc.Prompt, Output: svc.Output, Requests: svc.Requests,
+			Service: name, Prefill: svc.Prompt, Output: svc.Output, Requests: svc.Requests, Sent: svc.Sent, Completed: svc.Completed,
 		})
 	}
 	for _, w := range counter.Windows {
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -18,6 +18,7 @@
 
 	"connectrpc.com/connect"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/runner"
 	"swiftbeam/internal/state"
@@ -45,6 +46,8 @@
 	Cores    []string
 	Leader   string
 	Rollouts []*state.Rollout
+	// Crashes is the revision of the traits of requests that crash servers.
+	Crashes uint64
 }
 
 // Source streams the state of a core daemon to followers. Set the exported fields before use.
@@ -53,6 +56,8 @@
 	WallClock *WallClock
 	// SharedState returns the current replicated state.
 	SharedState func() SharedState
+	// CrashChanges returns the changes of the traits of requests that crash servers since a revision.
+	CrashChanges func(since uint64) crash.Changes
 
 	mu       sync.Mutex
 	revision uint64
@@ -173,6 +178,7 @@
 	rules    uint64
 	cores    []string
 	rollouts map[string]uint64
+	crashes  uint64
 }
 
 // Watch streams to one follower until it disconnects.
@@ -224,5 +230,10 @@
 			event.Rollouts = append(event.Rollouts, wire.RolloutToPB(rollout))
 		}
 	}
+	if entry && shared.Crashes > follower.crashes {
+		changes := s.CrashChanges(follower.crashes)
+		follower.crashes = changes.Revision
+		event.Crashes = wire.CrashChangesToPB(&changes)
+	}
 	return event, changed
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -117,14 +117,7 @@
 func (p *Pool) takeIdle(address string, limit int) (*Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.servers == nil {
-		p.servers = make(map[string]*connections)
-	}
-	s := p.servers[address]
-	if s == nil {
-		s = &connections{}
-		p.servers[address] = s
-	}
+	s := p.connections(address)
 	if n := len(s.idle); n > 0 {
 		c := s.idle[n-1]
 		s.idle = s.idle[:n-1]
@@ -138,6 +131,34 @@
 	return nil, true
 }
 
+// connections returns the connections to a server. The caller holds the lock.
+func (p *Pool) connections(address string) *connections {
+	if p.servers == nil {
+		p.servers = make(map[string]*connections)
+	}
+	s := p.servers[address]
+	if s == nil {
+		s = &connections{}
+		p.servers[address] = s
+	}
+	return s
+}
+
+// Refuses reports whether the VM at address refuses connections, as no process listens there. A connection
+// that opens is kept for later requests.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	p.connections(address).total++
+	p.mu.Unlock()
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.expires = p.Clock.Now().Add(defaultIdleTimeout - idleMargin)
+	c.Release(true)
+	return false
+}
+
 func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle.Std(), Interval: keepAliveInterval.Std(), Count: keepAliveProbes,
--- /dev/null
+++ b/internal/proxy/crash.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"swiftbeam/internal/crash"
+	"swiftbeam/internal/place"
+	"swiftbeam/internal/pool"
+	"swiftbeam/internal/retry"
+	"swiftbeam/pkg/clock"
+)
+
+const (
+	// trialWait is how long a request waits for the leader to allow it as the trial of a blocked trait.
+	trialWait = clock.Second
+	// minBlockedRetryAfter and noTrialRetryAfter bound the Retry-After of a blocked request: the next trial is
+	// due or under way, or there is none.
+	minBlockedRetryAfter = 2 * clock.Second
+	noTrialRetryAfter    = clock.Hour
+	// maxNameBytes bounds the ID of a part in logs and reports.
+	maxNameBytes = 64
+)
+
+// findSuspects returns the traits of the request that might crash servers: the parts of its prompt but the
+// last one, which other requests do not have.
+func (x *exchange) findSuspects() []crash.Suspect {
+	parts := x.request.Parts
+	if len(parts) < 2 {
+		return nil
+	}
+	suspects := make([]crash.Suspect, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		suspects = append(suspects, crash.Suspect{Trait: crash.PartTrait(x.service, part.ID), Name: part.ID[:min(len(part.ID), maxNameBytes)]})
+	}
+	return suspects
+}
+
+// admit reports whether the request may be sent to a server. If not, it ends the request, as no server can
+// complete it. When a trial of a blocked trait is due, it waits for the leader to allow it.
+func (x *exchange) admit(ctx context.Context) bool {
+	if len(x.suspects) == 0 || x.trial {
+		return true
+	}
+	p := x.proxy
+	decision, learned := p.admitSuspects(x.suspects)
+	for end := p.Clock.Now().Add(trialWait); decision.Await && p.Clock.Now().Before(end) && ctx.Err() == nil; {
+		if p.ReportCrashes != nil {
+			p.ReportCrashes()
+		}
+		timer := time.NewTimer(end.Sub(p.Clock.Now()).Std())
+		select {
+		case <-learned:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		decision, learned = p.admitSuspects(x.suspects)
+	}
+	if decision.Trial {
+		x.trial = true
+		p.Log.Info("trial of a blocked request", "id", x.request.ID, "service", x.service, "suspects", suspectNames(x.suspects))
+	}
+	if decision.Blocked == nil {
+		return true
+	}
+	x.endBlocked(decision.Blocked)
+	return false
+}
+
+// admitSuspects decides whether a request with the traits may be sent. It also returns a channel that is
+// closed at the next change of the blocked traits.
+func (p *Proxy) admitSuspects(suspects []crash.Suspect) (crash.Decision, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.crashesLearned == nil {
+		p.crashesLearned = make(chan struct{})
+	}
+	return p.crashes.Admit(p.ClusterTime(), suspects), p.crashesLearned
+}
+
+// endBlocked ends a request with a blocked trait.
+func (x *exchange) endBlocked(r *crash.Record) {
+	message := "requests with part " + strconv.Quote(r.Name) + " crash the servers"
+	a := retry.Attempt{Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, ResponseStarted: x.responseStarted, Result: retry.Unsent}
+	if retry.Final(a) != retry.Refuse {
+		x.giveUp(a, message)
+		return
+	}
+	retryAfter := noTrialRetryAfter
+	if r.NextTrial > 0 {
+		retryAfter = max(r.NextTrial.Sub(x.proxy.ClusterTime()), minBlockedRetryAfter)
+	}
+	x.proxy.Counts.Refused.Add(1)
+	x.proxy.Counts.Blocked.Add(1)
+	x.proxy.Dialect.RetryAfter(x.w.Header(), retryAfter)
+	x.reply(http.StatusServiceUnavailable, "blocked", message)
+}
+
+// observeBreak records that the connection to the server broke, and checks whether the server has ended.
+func (a *attempt) observeBreak(ctx context.Context, server *place.Server) {
+	if ctx.Err() != nil {
+		return
+	}
+	x, p := a.exchange, a.proxy
+	now := p.Clock.Now()
+	p.mu.Lock()
+	clusterTime := p.ClusterTime()
+	toClusterTime := func(at clock.Instant) clock.Instant { return clusterTime.Add(at.Sub(now)) }
+	b := crash.Break{
+		Service: x.service, Server: startID(server), Run: crash.Run{SentAt: toClusterTime(a.sentAt), Suspects: x.suspects}, At: clusterTime,
+		Explained: server.Leaving || p.serviceState(x.service).onTrial(server.Version),
+	}
+	if a.firstEventAt > 0 {
+		b.RespondedAt = toClusterTime(a.firstEventAt)
+	}
+	check := p.crashes.Broke(b)
+	p.mu.Unlock()
+	if !check {
+		return
+	}
+	p.requests.Add(1)
+	go func() {
+		defer p.requests.Done()
+		checkCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pool.DialTimeout.Std())
+		defer cancel()
+		p.checkServer(checkCtx, x.service, server)
+	}()
+}
+
+// startID identifies one start of a server.
+func startID(server *place.Server) string {
+	return server.ID + "/" + strconv.FormatInt(int64(server.Born), 10)
+}
+
+// onTrial reports whether a rollout to the version is in progress.
+func (s *ServiceState) onTrial(version string) bool {
+	return s.Rollout != nil && !s.Rollout.Stage.Ended() && s.Rollout.To == version
+}
+
+// checkServer finds out whether a server has ended after connections to it broke, and has that reported.
+func (p *Proxy) checkServer(ctx context.Context, service string, server *place.Server) {
+	refuses := p.Pool.Refuses(ctx, server.Address)
+	p.mu.Lock()
+	end, ended := p.crashes.Checked(startID(server), refuses)
+	p.mu.Unlock()
+	if !ended {
+		return
+	}
+	var names []string
+	for _, run := range end.Runs {
+		names = append(names, suspectNames(run.Suspects)...)
+	}
+	p.Log.Info("backend server has ended", "server", server.ID, "service", service, "address", server.Address, "begun", len(end.Runs), "suspects", names)
+	if p.ReportCrashes != nil {
+		p.ReportCrashes()
+	}
+}
+
+func suspectNames(suspects []crash.Suspect) []string {
+	names := make([]string, 0, len(suspects))
+	for i := range suspects {
+		names = append(names, suspects[i].Name)
+	}
+	return names
+}
+
+// observeCompletion counts an attempt, and records that a server completed it. The caller holds the lock.
+func (a *attempt) observeCompletion(service *ServiceState, result retry.Result) {
+	p := a.proxy
+	if a.sentAt == 0 || result == retry.NotRun || result == retry.Moved {
+		return
+	}
+	service.Sent++
+	if result != retry.Complete {
+		return
+	}
+	service.Completed++
+	now, clusterTime := p.Clock.Now(), p.ClusterTime()
+	p.crashes.Succeeded(a.suspects, clusterTime.Add(a.sentAt.Sub(now)), clusterTime)
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -23,7 +23,10 @@
 	choice     place.Choice
 	assignment *place.Assignment
 	conn       *pool.Conn
-	// firstResponseAt is the time of this attempt's first event or response.
+	// sentAt is the time at which the request was sent, firstEventAt that of this attempt's first event.
+	sentAt       clock.Instant
+	firstEventAt clock.Instant
+	// firstResponseAt is the time of the first event or response, unless the attempt resumes a stream.
 	firstResponseAt clock.Instant
 	// complete reports that the response was read to its end, so that the connection can be reused.
 	complete bool
@@ -43,6 +46,9 @@
 	p.mu.Unlock()
 	x.lastEvent = x.request.After
 	for {
+		if x.attempts > 0 && !x.admit(ctx) {
+			return
+		}
 		choice := x.chooseServer()
 		if choice.Server == nil {
 			x.giveUp(retry.Attempt{Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, ResponseStarted: x.responseStarted, Result: retry.Unsent}, "no server is ready")
@@ -142,7 +148,7 @@
 	return shortest, found
 }
 
-// mayRetry checks the time, the attempts of the route and the retry budget. After an attempt of which no
+// mayRetry checks the time, the attempts of the route, the traits of the request and the retry budget. After an attempt of which no
 // byte was sent it checks neither the route's attempts nor the budget; after a Moved one, only the budget.
 func (x *exchange) mayRetry(a retry.Attempt) bool {
 	p := x.proxy
@@ -158,6 +164,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if a.Result == retry.Incomplete && p.crashes.Suspected(x.suspects) {
+		return false
+	}
 	return p.serviceState(x.service).Budget.Take(now)
 }
 
@@ -216,6 +225,7 @@
 	}
 	service.Finish(p.Clock.Now(), a.assignment, failed)
 	a.observeEnd(service, result, failed, x.eventCount-eventsBefore)
+	a.observeCompletion(service, result)
 	service.Output += uint64((x.eventCount - eventsBefore) * service.EventTokens)
 	p.mu.Unlock()
 	return result
@@ -239,6 +249,7 @@
 		conn.Release(stopAbort() && a.complete)
 	}()
 	p.Counts.Attempts.Add(1)
+	a.sentAt = p.Clock.Now()
 	sent, err := conn.Send(a.requestHead(server), x.body)
 	if err != nil && !sent {
 		return retry.Unsent
@@ -249,6 +260,7 @@
 	}
 	response, err := conn.Receive(x.r.Method, func(h http.Header) bool { return p.Dialect.ParseResponse(0, h).ID == x.request.ID })
 	if err != nil {
+		a.observeBreak(ctx, server)
 		return a.failed(ctx, server, "no answer", err)
 	}
 	return a.handleResponse(ctx, server, response)
@@ -361,6 +373,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponse))
 	if err != nil {
+		a.observeBreak(ctx, server)
 		return a.failed(ctx, server, "answer cut short", err)
 	}
 	a.complete = true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 
 	"github.com/go-logr/logr"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
@@ -104,6 +105,8 @@
 	Truncated atomic.Int64
 	Abandoned atomic.Int64
 	Events    atomic.Int64
+	// Blocked counts the refused requests that would crash servers.
+	Blocked atomic.Int64
 }
 
 // Proxy is the HTTP handler for callers. Set the exported fields before use.
@@ -125,6 +128,8 @@
 	// ObserveFirstResponse is called with the time to the first event or response of each request;
 	// it may be nil.
 	ObserveFirstResponse func(took clock.Duration)
+	// ReportCrashes requests a report to the leader without delay; it may be nil.
+	ReportCrashes func()
 	// Draining makes each response ask the caller to close its connection.
 	Draining atomic.Bool
 
@@ -136,10 +141,13 @@
 	monitor  moves.Monitor
 	services map[string]*ServiceState
 	limits   turns.Limiter
-	limiter  quota.Limiter
-	counter  usage.Counter
-	requests sync.WaitGroup
-	inFlight atomic.Int64
+	crashes  crash.Watch
+	// crashesLearned is closed at the next change of crashes; nil while no request waits for it.
+	crashesLearned chan struct{}
+	limiter        quota.Limiter
+	counter        usage.Counter
+	requests       sync.WaitGroup
+	inFlight       atomic.Int64
 }
 
 // ServiceState is the routing state of a service with its retry budget and counters.
@@ -153,6 +161,9 @@
 	EventTokens int
 	// Requests counts the callers' requests for the service.
 	Requests uint64
+	// Sent counts the attempts that were sent to servers, Completed those that a server completed.
+	Sent      uint64
+	Completed uint64
 	// Prompt counts the prompt tokens that the chosen servers had not cached, Output the tokens
 	// they generated.
 	Prompt uint64
@@ -264,6 +275,18 @@
 	return p.limits.Unsent(p.ClusterTime(), n)
 }
 
+// UpdateCrashes calls change with the time that the daemons agree on and the traits of requests that crash
+// servers, while the proxy's lock is held.
+func (p *Proxy) UpdateCrashes(change func(now clock.Instant, watch *crash.Watch)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p.ClusterTime(), &p.crashes)
+	if p.crashesLearned != nil {
+		close(p.crashesLearned)
+		p.crashesLearned = nil
+	}
+}
+
 // WithState calls use with all mutable state while the proxy's lock is held.
 func (p *Proxy) WithState(use func(services map[string]*ServiceState, limiter *quota.Limiter, counter *usage.Counter)) {
 	p.mu.Lock()
@@ -339,6 +362,10 @@
 	body     []byte
 	arrived  clock.Instant
 	deadline clock.Instant
+	// suspects are the traits of the request that might crash servers.
+	suspects []crash.Suspect
+	// trial is set if the request is the trial of a blocked trait.
+	trial bool
 
 	tried    []string
 	attempts int
@@ -392,7 +419,8 @@
 	x.deadline = x.arrived.Add(min(x.request.Wait, x.route.Timeout))
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(p.Clock.Now()).Std())
 	defer cancel()
-	if !x.takeQuota(ctx) {
+	x.suspects = x.findSuspects()
+	if !x.admit(ctx) || !x.takeQuota(ctx) {
 		return
 	}
 	x.forward(ctx)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -70,6 +70,9 @@
 		if id >= 0 && x.lastEvent >= 0 && id != x.lastEvent+1 {
 			return a.failed(ctx, server, "event out of sequence", errors.Wrapf(errEventSequence, "got %d after %d", id, x.lastEvent))
 		}
+		if a.firstEventAt == 0 {
+			a.firstEventAt = p.Clock.Now()
+		}
 		if x.eventCount == 0 || !x.responseStarted {
 			a.recordFirstResponse()
 			x.startStream(r)
@@ -105,10 +108,12 @@
 func (a *attempt) endStream(ctx context.Context, server *place.Server, err error) retry.Result {
 	x := a.exchange
 	if !errors.Is(err, io.EOF) || errors.Is(err, errTruncatedEvent) || errors.Is(err, io.ErrUnexpectedEOF) {
+		a.observeBreak(ctx, server)
 		return a.failed(ctx, server, "stream broke off", err)
 	}
 	a.complete = true
 	if !x.responseStarted {
+		a.observeBreak(ctx, server)
 		return a.failed(ctx, server, "stream without events", err)
 	}
 	return retry.Complete
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,6 +1,6 @@
 // Package state is the replicated state of all daemons: the sections of the operators' document, the
-// journal of calls that must not be repeated, version moves and rollouts, traffic rules, usage records
-// and orders to backend servers. It changes only by commands from the committed log; the same commands
+// journal of calls that must not be repeated, version moves and rollouts, traffic rules, usage records,
+// orders to backend servers, and traits of requests that crash them. It changes only by commands from the committed log; the same commands
 // produce the same state on every daemon:
 //
 //	s := &state.State{}
@@ -11,6 +11,7 @@
 package state
 
 import (
+	"swiftbeam/internal/crash"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/conf"
 )
@@ -93,8 +94,16 @@
 // Barrier changes nothing. A daemon that receives its result has applied all earlier commands.
 type Barrier struct{}
 
-func (PutSection) command() {}
-func (Barrier) command()    {}
+// RecordCrashes adds evidence to the table of traits under which servers ended. At is of the clock that the
+// daemons agree on.
+type RecordCrashes struct {
+	At       clock.Instant
+	Evidence crash.Evidence
+}
+
+func (PutSection) command()    {}
+func (Barrier) command()       {}
+func (RecordCrashes) command() {}
 
 // SectionVersion is one version of a section's text.
 type SectionVersion struct {
@@ -135,6 +144,8 @@
 	Rules    Rules
 	Usage    map[uint64]Usage
 	Rollouts map[string]*Rollout
+	// Crashes are the traits of requests under which backend servers ended.
+	Crashes crash.Table
 
 	// Document is derived from the sections.
 	Document conf.Document
@@ -174,6 +185,9 @@
 		return s.startRollout(b)
 	case StepRollout:
 		return s.stepRollout(b)
+	case RecordCrashes:
+		s.Crashes.Apply(b.At, &b.Evidence)
+		return Result{Version: s.Crashes.Revision}
 	}
 	return Result{}
 }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -47,6 +47,8 @@
 		}}
 	case state.StepRollout:
 		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{Step: moveStepToPB(b.MoveStep), At: int64(b.At), Trial: uint32(b.Trial)}}
+	case state.RecordCrashes:
+		m.Body = &peerpb.Command_RecordCrashes{RecordCrashes: &peerpb.RecordCrashes{At: int64(b.At), Evidence: EvidenceToPB(&b.Evidence)}}
 	case state.Barrier:
 		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
 	}
@@ -102,6 +104,8 @@
 	case *peerpb.Command_StepRollout:
 		p := b.StepRollout
 		c.Body = state.StepRollout{MoveStep: moveStepFromPB(p.GetStep()), At: clock.Instant(p.GetAt()), Trial: int(p.GetTrial())}
+	case *peerpb.Command_RecordCrashes:
+		c.Body = state.RecordCrashes{At: clock.Instant(b.RecordCrashes.GetAt()), Evidence: EvidenceFromPB(b.RecordCrashes.GetEvidence())}
 	case *peerpb.Command_Barrier:
 		c.Body = state.Barrier{}
 	default:
@@ -183,6 +187,7 @@
 	for _, r := range s.Rollouts {
 		m.Rollouts = append(m.Rollouts, RolloutToPB(r))
 	}
+	m.Crashes = crashTableToPB(&s.Crashes)
 	sortImage(m)
 	return encode(m)
 }
@@ -239,6 +244,7 @@
 	for _, r := range m.GetRollouts() {
 		s.Rollouts[r.GetMove().GetService()] = RolloutFromPB(r)
 	}
+	s.Crashes = crashTableFromPB(m.GetCrashes())
 	s.Rebuild()
 	return s, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/quorum"
 	_ "swiftbeam/internal/repro"
 	"swiftbeam/internal/state"
@@ -51,7 +52,7 @@
 func drawBody(t *rapid.T) state.Body {
 	drawText := func(name string) string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, name)) }
 	key := state.OnceKey{Account: "a", Route: "r", Key: drawText("key")}
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		move := ""
 		if rapid.Bool().Draw(t, "moves") {
@@ -78,10 +79,30 @@
 			Service: "s" + drawText("section"), Version: "v" + drawText("version"), Revision: uint64(rapid.IntRange(1, 3).Draw(t, "revision")),
 			Stage: state.Stage(rapid.IntRange(0, 6).Draw(t, "stage")), Share: 200, Faults: 3,
 		}}
+	case 9:
+		return state.RecordCrashes{At: clock.Instant(rapid.IntRange(0, 9000).Draw(t, "crashAt")), Evidence: drawEvidence(t)}
 	}
 	return state.EndOrder{Operation: drawText("order"), Fence: uint64(rapid.IntRange(0, 3).Draw(t, "fence")), Done: true}
 }
 
+// drawEvidence returns random evidence on three traits.
+func drawEvidence(t *rapid.T) crash.Evidence {
+	trait := crash.PartTrait("s", fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "part")))
+	sentAt := clock.Instant(rapid.IntRange(0, 9000).Draw(t, "sentAt"))
+	if rapid.Bool().Draw(t, "completed") {
+		return crash.Evidence{
+			Successes: []crash.Success{{Trait: trait, SentAt: sentAt, At: sentAt + 100}},
+			Trials:    []crash.Trial{{Trait: trait, Daemon: "entry-1"}},
+		}
+	}
+	return crash.Evidence{
+		Ends: []crash.End{{Service: "s", Server: fmt.Sprint("i-", rapid.IntRange(0, 99).Draw(t, "server")), Daemon: "entry-1", At: sentAt + 50, Runs: []crash.Run{
+			{SentAt: sentAt, Suspects: []crash.Suspect{{Trait: trait, Name: "a"}}},
+		}}},
+		Traffic: []crash.Traffic{{Service: "s", PerSecond: 100, Completed: uint64(sentAt)}},
+	}
+}
+
 // FuzzEnvelope checks that decoding arbitrary bytes and encoding what was decoded does not panic.
 func FuzzEnvelope(f *testing.F) {
 	f.Add(encode(EnvelopeToPB(quorum.Message{Kind: quorum.Append, Entries: []quorum.Entry{{Index: 1, Term: 1}}})))
