--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -52,6 +52,8 @@
 	Fault           Fault
 	// NoExport disables KV cache export.
 	NoExport bool
+	// Crashes reports whether the engine crashes when it begins to answer a prompt; nil means never.
+	Crashes func(prompt string) bool
 
 	// Frozen stops the engine from sending tokens, while its connections stay open.
 	Frozen atomic.Bool
@@ -165,6 +167,10 @@
 		return
 	}
 	e.prefill(ctx, &c, fault)
+	if e.Crashes != nil && e.Crashes(c.text()) {
+		e.Kill()
+		return
+	}
 	e.generate(ctx, w, &c, a, fault)
 }
 
