Guard: the product's own interface blocks chats with a message that crashes engines

What callers saw: an accepted chat with a message that crashes engines was resumed at up to eight of them, and the next one again; others lost their engines. Cause and class are those of the entry daemons; here the relay's promise to complete each accepted request made it worse.

Change: package guard uses package crash on daemons that have the replicated state. The messages of a chat but the last are its traits. Blocked chats are refused before they are accepted, with notRun. A session whose engine ended waits up to 3 s for a verdict before the next engine. The commit of evidence moves from core to guard.Recorder, used by both.

--- a/internal/canary/canary.go
+++ b/internal/canary/canary.go
@@ -122,6 +122,12 @@
 	return c.monitor.Stopped(m)
 }
 
+// OnTrial reports whether a move to the version is in progress.
+func (c *Controller) OnTrial(service, version string) bool {
+	m := c.move(service)
+	return m != nil && m.To == version && !m.Stage.Ended()
+}
+
 // Observe adds the outcome of a request to the evidence.
 func (c *Controller) Observe(o moves.Observation) {
 	m := c.move(o.Service)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/group"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/peers"
 	"swiftbeam/internal/quorum"
@@ -105,7 +106,7 @@
 	httpServers []*http.Server
 	commitTimes metrics.Histogram
 
-	crashes crashQueue
+	crashes *guard.Recorder
 
 	mu    sync.Mutex
 	table enrol.Table
@@ -123,7 +124,6 @@
 	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool)}
 	c.started = c.clock.Now()
 	c.duties.tenure.Start(c.started)
-	c.crashes.added = make(chan struct{}, 1)
 	c.SetSeeds(s.Seeds)
 	c.Net = peers.New(peers.Options{Token: s.PeerToken})
 	c.Store = &store.Store{
@@ -149,6 +149,10 @@
 		Name: s.Name, Zone: s.Zone, Self: s.Peers, Clock: c.clock, WallClock: wallClock, Log: c.log, Client: c.Net.FeedClient,
 		Seeds: c.otherCores, OnEvent: c.receiveEvent,
 	}
+	c.crashes = &guard.Recorder{
+		Log: c.log, Now: c.Follower.ClusterTime, Leads: func() bool { return c.isLeader() && !c.draining.Load() },
+		View: c.Store.View, Propose: c.propose, Traffic: c.crashTraffic,
+	}
 	if o.Metrics != nil {
 		c.registerMetrics(o.Metrics)
 	}
@@ -211,7 +215,7 @@
 	c.tasks.Go(func() { c.joiner.Run(ctx) })
 	c.tasks.Go(func() { c.Follower.Run(ctx) })
 	c.tasks.Go(func() { c.watchState(ctx) })
-	c.tasks.Go(func() { c.recordCrashes(ctx) })
+	c.tasks.Go(func() { c.crashes.Run(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, stepInterval, func() { c.stepRollouts(ctx) }) })
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -110,7 +110,7 @@
 		out.Others, out.HasOthers = d.totals.others(now, &d.loads, name)
 	}
 	c.exchangeLimits(m, out)
-	c.crashes.add(wire.EvidenceFromPB(m.GetCrashes()))
+	c.crashes.Add(wire.EvidenceFromPB(m.GetCrashes()))
 	out.PauseMs = int64(d.pacer.Count(now))
 	out.Entries, out.Rank = uint32(d.loads.Daemons(now)), uint32(d.loads.Rank(name))
 	set := c.ruleSet.Load()
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -108,6 +108,19 @@
 // Empty reports whether there are no observations.
 func (e *Evidence) Empty() bool { return len(e.Ends)+len(e.Successes)+len(e.Trials) == 0 }
 
+// Shift adds d to all times, for a daemon whose clock is behind by that.
+func (e *Evidence) Shift(d clock.Duration) {
+	for i := range e.Ends {
+		e.Ends[i].At = e.Ends[i].At.Add(d)
+		for j := range e.Ends[i].Runs {
+			e.Ends[i].Runs[j].SentAt = e.Ends[i].Runs[j].SentAt.Add(d)
+		}
+	}
+	for i := range e.Successes {
+		e.Successes[i].SentAt, e.Successes[i].At = e.Successes[i].SentAt.Add(d), e.Successes[i].At.Add(d)
+	}
+}
+
 // Record is what is known of a trait under which servers ended.
 type Record struct {
 	Suspect
--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -181,18 +181,7 @@
 
 // Admit decides whether a request may be sent. A request with a single blocked trait may be the trial of it.
 func (w *Watch) Admit(now clock.Instant, suspects []Suspect) Decision {
-	var latest *Record
-	blocked := 0
-	for i := range suspects {
-		r := w.records[suspects[i].Trait]
-		if r == nil || !r.Blocked() {
-			continue
-		}
-		blocked++
-		if latest == nil || r.NextTrial == 0 || latest.NextTrial > 0 && r.NextTrial > latest.NextTrial {
-			latest = r
-		}
-	}
+	latest, blocked := w.Blocked(suspects)
 	switch {
 	case latest == nil:
 		return Decision{}
@@ -212,8 +201,28 @@
 	return Decision{Blocked: latest}
 }
 
+// Blocked returns the number of blocked traits, and the record of the one with the latest trial.
+func (w *Watch) Blocked(suspects []Suspect) (*Record, int) {
+	var latest *Record
+	blocked := 0
+	for i := range suspects {
+		r := w.records[suspects[i].Trait]
+		if r == nil || !r.Blocked() {
+			continue
+		}
+		blocked++
+		if latest == nil || r.NextTrial == 0 || latest.NextTrial > 0 && r.NextTrial > latest.NextTrial {
+			latest = r
+		}
+	}
+	return latest, blocked
+}
+
 // Suspected reports whether several servers ended under requests with one of the traits, so that a request
 // whose server has ended should not be sent to another one.
 func (w *Watch) Suspected(suspects []Suspect) bool {
 	return slices.ContainsFunc(suspects, func(s Suspect) bool { return w.records[s.Trait] != nil })
 }
+
+// Suspicious reports whether there are any such traits.
+func (w *Watch) Suspicious() bool { return len(w.records) > 0 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/entry"
 	"swiftbeam/internal/group"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/lease"
 	"swiftbeam/internal/manage"
 	"swiftbeam/internal/member"
@@ -70,6 +71,7 @@
 	Relay    *relay.Relay
 	Once     *once.Executor
 	Canary   *canary.Controller
+	Guard    *guard.Guard
 	Entry    *entry.Entry
 	Manage   *manage.Server
 	Net      *peers.Net
@@ -156,9 +158,10 @@
 		Self: self.ID, Clock: c, Store: d.Store, Net: d.Net, Roster: d.Roster, Log: log.WithName("pilot"),
 		Leased: func() bool { return d.LeaseStatus().AllowsVersionMoves() },
 	}
+	d.Guard = &guard.Guard{Self: self.Holder(), Clock: c, Store: d.Store, Net: d.Net, Log: log.WithName("guard")}
 	d.Relay = &relay.Relay{
 		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: backendClient()},
-		Versions: d.Canary, Log: log.WithName("relay"), Route: d.routeByName,
+		Versions: d.Canary, Guard: d.Guard, Log: log.WithName("relay"), Route: d.routeByName,
 	}
 	d.Roster.RemovalObserver = d.Relay
 	d.Once = &once.Executor{
@@ -169,7 +172,7 @@
 	}
 	d.Entry = &entry.Entry{
 		Self: self.ID, Clock: c, Settings: s, Store: d.Store, Roster: d.Roster, Relay: d.Relay, Once: d.Once,
-		Versions: d.Canary, LeaseStatus: d.LeaseStatus, Announce: d.Manage.AnnounceHandler(),
+		Versions: d.Canary, Guard: d.Guard, LeaseStatus: d.LeaseStatus, Announce: d.Manage.AnnounceHandler(),
 	}
 	d.Roster.Loads = d.Entry.Loads
 }
@@ -196,6 +199,7 @@
 	d.Runner.Add("store", d.Store)
 	d.Runner.Add("roster", d.Roster)
 	d.Runner.Add("pilot", d.Canary)
+	d.Runner.Add("guard", d.Guard)
 	d.Runner.Add("once", d.Once)
 	d.Runner.Add("relay", d.Relay)
 	d.Runner.Add("entry", d.Entry)
@@ -242,6 +246,7 @@
 func (d *Daemon) peerHandler() http.Handler {
 	server := &peers.Server{
 		Token: d.Settings.PeerToken, Store: d.Store, Net: d.Net, Gossiper: d.Roster, MirrorStore: d.Relay, Collector: d.Canary,
+		CrashCollector: d.Guard,
 	}
 	mux := http.NewServeMux()
 	mux.Handle(server.Handler())
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -16,6 +16,7 @@
 
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/stream"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
@@ -56,6 +57,10 @@
 		e.writeError(w, err, ErrorDetail{NotRun: true, Param: "model"})
 		return
 	}
+	if err := e.Guard.Admit(q.Context(), guard.Suspects(service.Name, body, chat)); err != nil {
+		e.refuse(w, err)
+		return
+	}
 	record, err := e.accept(q, stream.Request{
 		ID: newID(), Account: q.account.Name, Service: service.Name, Route: r.Name, Body: body, Chat: chat,
 	}, r)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/gorilla/mux"
 
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/lease"
 	"swiftbeam/internal/once"
 	"swiftbeam/internal/relay"
@@ -58,6 +59,7 @@
 	Relay       *relay.Relay
 	Once        *once.Executor
 	Versions    relay.Versions
+	Guard       *guard.Guard
 	LeaseStatus func() lease.Status
 	Stats       Stats
 	// Announce serves the announcements of backend servers; nil disables them.
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -32,7 +32,7 @@
 	Fetch(ctx context.Context, r *peerpb.FetchRequest) *peerpb.FetchResponse
 }
 
-// Collector receives the evidence on version moves that daemons report.
+// Collector receives the evidence that daemons report, on version moves or on crashes of servers.
 type Collector interface {
 	Collect(*peerpb.ReportRequest)
 }
@@ -45,6 +45,8 @@
 	Gossiper    Gossiper
 	MirrorStore MirrorStore
 	Collector   Collector
+	// CrashCollector receives the reports of crashes.
+	CrashCollector Collector
 }
 
 // Handler returns the URL path of the service and its HTTP handler.
@@ -157,9 +159,13 @@
 	return connect.NewResponse(s.MirrorStore.Fetch(ctx, r.Msg)), nil
 }
 
-// Report receives evidence on version moves.
+// Report receives evidence on version moves or on crashes of servers.
 func (s *Server) Report(_ context.Context, r *connect.Request[peerpb.ReportRequest]) (*connect.Response[peerpb.ReportResponse], error) {
-	s.Collector.Collect(r.Msg)
+	if r.Msg.GetCrashes() != nil {
+		s.CrashCollector.Collect(r.Msg)
+	} else {
+		s.Collector.Collect(r.Msg)
+	}
 	return connect.NewResponse(&peerpb.ReportResponse{}), nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"swiftbeam/internal/drain"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/limit"
 	"swiftbeam/internal/member"
 	"swiftbeam/internal/moves"
@@ -53,6 +54,8 @@
 	SettledVersion(service string) string
 	// Avoids reports whether the version must not receive new work.
 	Avoids(service, version string) bool
+	// OnTrial reports whether a move to the version is in progress.
+	OnTrial(service, version string) bool
 	Observe(moves.Observation)
 }
 
@@ -64,8 +67,10 @@
 	Roster   *roster.Roster
 	Engine   *engine.Client
 	Versions Versions
-	Log      logr.Logger
-	Table    stream.Table
+	// Guard keeps requests that crash engines from further ones.
+	Guard *guard.Guard
+	Log   logr.Logger
+	Table stream.Table
 	// Route returns a route of a service by their names.
 	Route func(service, route string) fleet.Route
 	Stats Stats
@@ -133,6 +138,7 @@
 		decisions: ring.New[drain.Method](1), callerSeenAt: r.Clock.Now(), startedAt: r.Clock.Now(),
 	}
 	s.route = r.Route(record.Service, record.Route)
+	s.suspects = guard.Suspects(record.Service, record.Body, record.Chat)
 	s.acked = len(record.State().Tokens)
 	r.mu.Lock()
 	r.budget.Earn()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/drain"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/moves"
@@ -37,7 +38,9 @@
 	relay  *Relay
 	record *stream.Record
 	route  fleet.Route
-	cancel context.CancelFunc
+	// suspects are the traits of the request that might crash engines.
+	suspects []crash.Suspect
+	cancel   context.CancelFunc
 	// decisions receives the method by which the stream is drained from its server.
 	decisions *ring.Ring[drain.Method]
 	done      func()
@@ -87,6 +90,11 @@
 		case !out.moved:
 			s.failures++
 			s.backOff(ctx)
+			if err := s.relay.Guard.AwaitVerdict(ctx, s.suspects); err != nil {
+				s.record.Fail(s.relay.Clock.Now(), err.Error())
+				s.showRemaining(ctx)
+				return
+			}
 		}
 		s.relay.Stats.Resumed.Add(1)
 	}
@@ -169,7 +177,11 @@
 	call.Version = version
 	call.Resume = s.record.State().Tokens
 	s.beginAttempt(grant.Address, version)
+	s.relay.Guard.Sent(s.record.Service)
 	out := s.stream(ctx, grant, call)
+	if out.finished {
+		s.relay.Guard.Succeeded(s.record.Service, s.suspects, s.startedAt)
+	}
 	out.address = grant.Address
 	s.finishAttempt(grant, version, out)
 	return out
@@ -239,6 +251,9 @@
 	for {
 		select {
 		case r := <-ended:
+			if r.err != nil && ctx.Err() == nil {
+				s.observeBreak(ctx, r.err, grant, call.Version)
+			}
 			return s.deriveOutcome(r, grant.Address)
 		case method := <-s.decisions.Out():
 			return s.move(ctx, cancel, method, grant, ended)
@@ -254,6 +269,21 @@
 	}
 }
 
+// observeBreak reports an engine call whose connection broke, as the request may have crashed the engine.
+func (s *session) observeBreak(ctx context.Context, err error, grant *roster.Grant, version string) {
+	var status *engine.StatusError
+	if errors.As(err, &status) || engine.NotSent(err) {
+		return
+	}
+	s.mu.Lock()
+	b := crash.Break{
+		Service: s.record.Service, Server: grant.StartID(), Run: crash.Run{SentAt: s.startedAt, Suspects: s.suspects}, RespondedAt: s.firstToken,
+		Explained: grant.Leaving() || s.relay.Versions.OnTrial(s.record.Service, version),
+	}
+	s.mu.Unlock()
+	s.relay.Guard.Broke(ctx, grant.Address, b)
+}
+
 // deriveOutcome derives the outcome of an attempt from the end of its engine call.
 func (s *session) deriveOutcome(r result, address string) outcome {
 	if r.err == nil && r.end.Finish == exportedFinish {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,6 +14,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -270,6 +271,19 @@
 	})
 }
 
+// StartID identifies the start of the server.
+func (g *Grant) StartID() string {
+	return g.Address + "/" + strconv.FormatUint(g.server.Incarnation, 10)
+}
+
+// Leaving reports whether the server has announced that it stops or that its VM is reclaimed.
+func (g *Grant) Leaving() bool {
+	g.roster.mu.Lock()
+	defer g.roster.mu.Unlock()
+	b := g.roster.table.Backends[g.server.Key]
+	return b != nil && b.Incarnation == g.server.Incarnation && (b.State == fleet.Leaving || b.State == fleet.Reclaimed)
+}
+
 // CountReady returns the number of servers of a version that may receive new work.
 func (r *Roster) CountReady(service, version string) int {
 	r.mu.Lock()
