--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -40,6 +40,12 @@
 // PartTrait returns the trait of prompts for a service that contain a part.
 func PartTrait(service, part string) Trait { return newTrait("part", service, part) }
 
+// RequestTrait returns the trait of the requests that are the same: of one client account to a service, with
+// the same method, host, target and body. Nobody else can send a request with this trait.
+func RequestTrait(service, account, method, host, target string, body []byte) Trait {
+	return newTrait("request", service, account, method, host, target, string(body))
+}
+
 // newTrait returns a digest of texts. Callers choose some of them, so it must be free of collisions.
 func newTrait(texts ...string) Trait {
 	var data []byte
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
@@ -275,7 +276,8 @@
 	}
 	if ctx.Err() == nil {
 		a.proxy.Log.Info("attempt failed", "id", a.request.ID, "server", server.ID, "what", message, "error", err.Error(),
-			"reused", a.conn.Reused, "events", a.eventCount, "account", a.accountName(), "parts", a.sharedParts())
+			"reused", a.conn.Reused, "events", a.eventCount, "account", a.accountName(), "parts", a.sharedParts(), "target", a.target(),
+			"same", a.requestTrait().String())
 	}
 	return retry.Incomplete
 }
@@ -294,6 +296,18 @@
 	return ids
 }
 
+// maxLoggedTarget bounds the path and query of a request in a log line, in bytes.
+const maxLoggedTarget = 64
+
+func (x *exchange) target() string {
+	return x.r.Method + " " + x.r.RequestURI[:min(len(x.r.RequestURI), maxLoggedTarget)]
+}
+
+// requestTrait returns the trait that the request shares with its repetitions.
+func (x *exchange) requestTrait() crash.Trait {
+	return crash.RequestTrait(x.service, x.accountName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
+}
+
 // requestHead returns the request line and the headers as they are sent.
 func (a *attempt) requestHead(server *place.Server) []byte {
 	x, p := a.exchange, a.proxy
