Crash, proxy: a repeated request that crashes servers is blocked

Cause: a request was known by its ID only, which each repetition has anew, and a retry after the end of a server was taken for harmless.

Change: the request itself is a trait, a digest of service, account, method, host, target and body. It is blocked from three ends on, with less certainty than a part, as only its own caller can have it. It is computed when a server has ended, and for all requests while such a digest is known. Ends count if the request was sent at the time of the last end, not only after it, as a retry goes out in the same millisecond.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -10,8 +10,8 @@
 //	watch.Learn(&changes)
 //	decision := watch.Admit(now, suspects)   // before a request is sent
 //
-// Requests have traits, such as the parts of their prompts, of which sound requests have most too. A trait is
-// blocked when several servers, one after the other, ended soon after they began requests with it, and none
+// Requests have traits: the parts of their prompts, of which sound requests have most too, and a digest of the
+// whole request, which only its repetitions have. A trait is blocked when several servers, one after the other, ended soon after they began requests with it, and none
 // with it was completed since the first of these ends:
 //
 //   - Ends at about the same time, as in the outage of an availability zone, count once: only requests with
@@ -31,6 +31,8 @@
 	"swiftbeam/pkg/clock"
 )
 
+//go:generate ../../.tools/stringer -type=Kind -output=kind_string.go
+
 // Trait identifies a property that several requests may share.
 type Trait [16]byte
 
@@ -57,10 +59,22 @@
 	return Trait(digest[:len(Trait{})])
 }
 
+// Kind is the kind of a trait.
+type Kind uint8
+
+// Kinds of traits.
+const (
+	// Part is a part of a prompt.
+	Part Kind = iota
+	// Request is the request itself.
+	Request
+)
+
 // Suspect is a trait of a request.
 type Suspect struct {
 	Trait Trait
-	// Name is the ID of a part.
+	Kind  Kind
+	// Name is the ID of a part, or the method and the target of a request.
 	Name string
 }
 
--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -14,11 +14,6 @@
 	// endsToList is the number of ends from which all daemons are told of a trait, so that they report
 	// requests with it that were completed.
 	endsToList = 2
-	// minEndsToBlock is the number of ends from which a trait is blocked if no server ended under requests
-	// without it.
-	minEndsToBlock = 4
-	// maxChance is the probability up to which the ends may be a coincidence.
-	maxChance = 1e-5
 	// hearingTime is the time between the listing and the blocking of a trait, in which each daemon has
 	// reported: two intervals of reports and the time to send the list.
 	hearingTime = clock.Second
@@ -37,6 +32,17 @@
 	blockRetention   = clock.Day
 )
 
+// limits are the ends from which on a trait is blocked if no server ended under requests without it, and the
+// probability up to which the ends may be a coincidence. A part needs more evidence than a request: the
+// requests of many callers have it.
+var limits = map[Kind]struct {
+	ends   int
+	chance float64
+}{
+	Part:    {ends: 4, chance: 1e-5},
+	Request: {ends: 3, chance: 1e-3},
+}
+
 // trialDelays are the times from the blocking of a trait, or from a trial, to the next trial. Each trial of
 // a trait that still crashes servers costs one of them, so there are few.
 var trialDelays = []clock.Duration{clock.Minute, 10 * clock.Minute}
@@ -228,7 +234,7 @@
 	breaks := slices.SortedFunc(slices.Values(r.Breaks), func(a, b BrokenRun) int { return cmp.Compare(a.At, b.At) })
 	ends, last := 0, BrokenRun{}
 	for _, b := range breaks {
-		if ends == 0 || b.SentAt.After(last.At) && b.Server != last.Server {
+		if ends == 0 || !b.SentAt.Before(last.At) && b.Server != last.Server {
 			ends++
 			last = b
 		}
@@ -324,8 +330,8 @@
 	if r.Proven && traffic.Completed < r.Completed+minCompleted {
 		return false
 	}
-	ends := r.Ends()
-	return ends >= minEndsToBlock && float64(ends)*math.Log(t.chance(now, r, traffic)) < math.Log(maxChance)
+	ends, limit := r.Ends(), limits[r.Kind]
+	return ends >= limit.ends && float64(ends)*math.Log(t.chance(now, r, traffic)) < math.Log(limit.chance)
 }
 
 // chance returns the probability that the server of a request without the trait ends soon after it began
--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -226,3 +226,14 @@
 
 // Suspicious reports whether there are any such traits.
 func (w *Watch) Suspicious() bool { return len(w.records) > 0 }
+
+// Tracks reports whether there are any such traits of a kind. Requests need no traits of a kind that is not
+// tracked, unless their servers end.
+func (w *Watch) Tracks(kind Kind) bool {
+	for _, r := range w.records {
+		if r.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -253,7 +253,7 @@
 		changed, removed := watch.Learn(&c)
 		for i := range changed {
 			r := &changed[i]
-			e.log.Info("requests suspected of crashing servers", "service", r.Service, "name", r.Name, "trait", r.Trait.String(), "blocked", r.Blocked(),
+			e.log.Info("requests suspected of crashing servers", "service", r.Service, "kind", r.Kind.String(), "name", r.Name, "trait", r.Trait.String(), "blocked", r.Blocked(),
 				"trials", r.Trials, "nextTrial", r.NextTrial.String(), "revision", r.Revision)
 		}
 		for i := range removed {
--- a/internal/guard/recorder.go
+++ b/internal/guard/recorder.go
@@ -130,7 +130,7 @@
 	}
 	for trait, b := range r.blocked() {
 		if _, known := before[trait]; !known {
-			r.Log.Info("requests blocked that crash servers", "service", b.Service, "name", b.Name, "trait", trait.String(), "ends", b.Ends(), "broken", b.Broken,
+			r.Log.Info("requests blocked that crash servers", "service", b.Service, "kind", b.Kind.String(), "name", b.Name, "trait", trait.String(), "ends", b.Ends(), "broken", b.Broken,
 				"sinceMs", int64(now.Sub(b.FirstEnd)), "proven", b.Proven, "revision", b.Revision)
 		}
 	}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -24,9 +24,9 @@
 	maxNameBytes = 64
 )
 
-// findSuspects returns the traits of the request that might crash servers: the parts of its prompt but the
-// last one, which other requests do not have.
-func (x *exchange) findSuspects() []crash.Suspect {
+// findParts returns the parts of the request's prompt as traits, but the last one, which other requests do not
+// have.
+func (x *exchange) findParts() []crash.Suspect {
 	parts := x.request.Parts
 	if len(parts) < 2 {
 		return nil
@@ -38,13 +38,26 @@
 	return suspects
 }
 
+// identify adds the request itself to its traits. This reads the whole body, so it is done only when a server
+// has ended under the request, or while such traits are known of others.
+func (x *exchange) identify() {
+	if x.identified {
+		return
+	}
+	x.identified = true
+	x.suspects = append(x.suspects, crash.Suspect{Trait: x.requestTrait(), Kind: crash.Request, Name: x.target()})
+}
+
 // admit reports whether the request may be sent to a server. If not, it ends the request, as no server can
 // complete it. When a trial of a blocked trait is due, it waits for the leader to allow it.
 func (x *exchange) admit(ctx context.Context) bool {
+	p := x.proxy
+	if p.tracksRequests() {
+		x.identify()
+	}
 	if len(x.suspects) == 0 || x.trial {
 		return true
 	}
-	p := x.proxy
 	decision, learned := p.admitSuspects(x.suspects)
 	for end := p.Clock.Now().Add(trialWait); decision.Await && p.Clock.Now().Before(end) && ctx.Err() == nil; {
 		if p.ReportCrashes != nil {
@@ -70,6 +83,13 @@
 	return false
 }
 
+// tracksRequests reports whether servers have ended under requests that may come again.
+func (p *Proxy) tracksRequests() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes.Tracks(crash.Request)
+}
+
 // admitSuspects decides whether a request with the traits may be sent. It also returns a channel that is
 // closed at the next change of the blocked traits.
 func (p *Proxy) admitSuspects(suspects []crash.Suspect) (crash.Decision, <-chan struct{}) {
@@ -84,6 +104,9 @@
 // endBlocked ends a request with a blocked trait.
 func (x *exchange) endBlocked(r *crash.Record) {
 	message := "requests with part " + strconv.Quote(r.Name) + " crash the servers"
+	if r.Kind == crash.Request {
+		message = "the request " + strconv.Quote(r.Name) + " crashes the servers"
+	}
 	a := retry.Attempt{Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, ResponseStarted: x.responseStarted, Result: retry.Unsent}
 	if retry.Final(a) != retry.Refuse {
 		x.giveUp(a, message)
@@ -105,6 +128,7 @@
 		return
 	}
 	x, p := a.exchange, a.proxy
+	x.identify()
 	now := p.Clock.Now()
 	p.mu.Lock()
 	clusterTime := p.ClusterTime()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -362,8 +362,10 @@
 	body     []byte
 	arrived  clock.Instant
 	deadline clock.Instant
-	// suspects are the traits of the request that might crash servers.
-	suspects []crash.Suspect
+	// suspects are the traits of the request that might crash servers. They contain the request itself if
+	// identified is set.
+	suspects   []crash.Suspect
+	identified bool
 	// trial is set if the request is the trial of a blocked trait.
 	trial bool
 
@@ -419,7 +421,7 @@
 	x.deadline = x.arrived.Add(min(x.request.Wait, x.route.Timeout))
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(p.Clock.Now()).Std())
 	defer cancel()
-	x.suspects = x.findSuspects()
+	x.suspects = x.findParts()
 	if !x.admit(ctx) || !x.takeQuota(ctx) {
 		return
 	}
--- a/internal/wire/crash.go
+++ b/internal/wire/crash.go
@@ -71,11 +71,11 @@
 }
 
 func suspectToPB(s *crash.Suspect) *peerpb.CrashSuspect {
-	return &peerpb.CrashSuspect{Trait: s.Trait[:], Name: s.Name}
+	return &peerpb.CrashSuspect{Trait: s.Trait[:], Kind: uint32(s.Kind), Name: s.Name}
 }
 
 func suspectFromPB(m *peerpb.CrashSuspect) crash.Suspect {
-	return crash.Suspect{Trait: traitFromPB(m.GetTrait()), Name: m.GetName()}
+	return crash.Suspect{Trait: traitFromPB(m.GetTrait()), Kind: crash.Kind(m.GetKind()), Name: m.GetName()}
 }
 
 // traitFromPB returns a trait. Bytes that are missing are zero.
