--- a/internal/fakes/ledger.go
+++ b/internal/fakes/ledger.go
@@ -21,6 +21,8 @@
 	// DropResponse, if set, is called before a response is sent. If it returns true, the connection is
 	// closed without a response.
 	DropResponse func() bool
+	// Crashes reports whether the server crashes when it begins a deposit; nil means never.
+	Crashes func(body string) bool
 }
 
 // RunLog counts the executions of deposits by idempotency key.
@@ -65,6 +67,10 @@
 	}
 	key := r.Header.Get("Idempotency-Key")
 	p.RunLog.Add(key)
+	if p.Crashes != nil && p.Crashes(string(body)) {
+		p.Kill()
+		return
+	}
 	sleep(context.Background(), p.ProcessingTime)
 	if p.DropResponse != nil && p.DropResponse() {
 		panic(http.ErrAbortHandler)
