Guard, once, relay: the product's own interface blocks repeated requests that crash servers

What callers saw: a chat that crashes engines, sent again, ended up to eight engines each time; a deposit that crashes plain servers one each time.

Change: chats, completions and calls to plain services have the trait of the whole request. A call that may be repeated is not sent again once its trait is blocked.

--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -57,7 +57,7 @@
 		e.writeError(w, err, ErrorDetail{NotRun: true, Param: "model"})
 		return
 	}
-	if err := e.Guard.Admit(q.Context(), guard.Suspects(service.Name, body, chat)); err != nil {
+	if err := e.Guard.Admit(q.Context(), guard.CompletionSuspects(q.account.Name, service.Name, body, chat)); err != nil {
 		e.refuse(w, err)
 		return
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"strings"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/guard"
 	"swiftbeam/internal/once"
 	"swiftbeam/internal/state"
 	"swiftbeam/pkg/fleet"
@@ -25,6 +27,11 @@
 		e.refuse(w, err)
 		return
 	}
+	suspects := guard.CallSuspects(q.account.Name, service.Name, q.Method, q.URL.RequestURI(), body)
+	if err := e.Guard.Admit(q.Context(), suspects); err != nil {
+		e.refuse(w, err)
+		return
+	}
 	ctx, cancel := waitContext(q.Context(), route)
 	defer cancel()
 	if err := e.admission.admit(ctx, service.Name, q.account, route); err != nil {
@@ -32,7 +39,7 @@
 		return
 	}
 	defer e.releaseAfter(service.Name, q.account.Name)()
-	e.call(w, q, service, route, body)
+	e.call(w, q, service, route, body, suspects)
 }
 
 // plainRoute returns the route with the longest path that is equal to path or one of its parents.
@@ -51,12 +58,12 @@
 }
 
 // call runs a call and writes its response.
-func (e *Entry) call(w http.ResponseWriter, q *callerRequest, service fleet.Service, route fleet.Route, body []byte) {
+func (e *Entry) call(w http.ResponseWriter, q *callerRequest, service fleet.Service, route fleet.Route, body []byte, suspects []crash.Suspect) {
 	id := newID()
 	c := once.Call{
 		OnceKey: state.OnceKey{Account: q.account.Name, Route: route.Name, Key: q.Header.Get(IdempotencyKeyHeader)},
 		Request: id, Service: service.Name, Method: q.Method, Path: q.URL.RequestURI(),
-		Type: q.Header.Get("Content-Type"), Body: body, Timeout: route.Timeout,
+		Type: q.Header.Get("Content-Type"), Body: body, Timeout: route.Timeout, Suspects: suspects,
 		Version: func() string {
 			version, _ := e.Versions.Pick(service.Name, route.Name, id)
 			return version
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -1,7 +1,7 @@
 // Package guard keeps requests that crash backend servers from reaching further ones, on a daemon that has the
 // replicated state itself:
 //
-//	suspects := guard.Suspects(service, body, true)
+//	suspects := guard.CompletionSuspects(account, service, body, true)
 //	err := g.Admit(ctx, suspects)           // before a request is accepted
 //	g.Sent(service)
 //	g.Broke(ctx, address, crash.Break{...}) // the connection to a server broke
@@ -16,6 +16,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -135,29 +136,40 @@
 	g.watch.Learn(&changes)
 }
 
-// Suspects returns the traits of a completion request: the messages of a chat but the last one, which belongs
-// to this request alone.
-func Suspects(service string, body []byte, chat bool) []crash.Suspect {
+// CompletionSuspects returns the traits of a completion request: the request itself and the messages of a chat
+// but the last one, which belongs to this request alone.
+func CompletionSuspects(account, service string, body []byte, chat bool) []crash.Suspect {
+	path := engine.Path(chat)
+	suspects := []crash.Suspect{{
+		Trait: crash.RequestTrait(service, account, http.MethodPost, "", path, body), Kind: crash.Request, Name: "POST " + path + " of " + account,
+	}}
 	if !chat {
-		return nil
+		return suspects
 	}
 	var fields struct {
 		Messages []engine.Message `json:"messages"`
 	}
 	if err := json.Unmarshal(body, &fields); err != nil || len(fields.Messages) < 2 {
-		return nil
+		return suspects
 	}
-	messages := fields.Messages[:len(fields.Messages)-1]
-	suspects := make([]crash.Suspect, 0, len(messages))
-	for _, m := range messages {
-		suspects = append(suspects, crash.Suspect{Trait: crash.PartTrait(service, m.Role+": "+m.Content), Name: m.Content[:min(len(m.Content), maxNameBytes)]})
+	for _, m := range fields.Messages[:len(fields.Messages)-1] {
+		suspects = append(suspects, crash.Suspect{Trait: crash.PartTrait(service, m.Role+": "+m.Content), Name: shorten(m.Content)})
 	}
 	return suspects
 }
 
+// CallSuspects returns the trait of a call to a plain service, which is the call itself.
+func CallSuspects(account, service, method, target string, body []byte) []crash.Suspect {
+	return []crash.Suspect{{
+		Trait: crash.RequestTrait(service, account, method, "", target, body), Kind: crash.Request, Name: shorten(method + " " + target),
+	}}
+}
+
 // maxNameBytes bounds the names of traits.
 const maxNameBytes = 64
 
+func shorten(text string) string { return text[:min(len(text), maxNameBytes)] }
+
 // Admit returns an error if requests with the traits are blocked. When a trial is due, it waits for the
 // leader to allow the request as one.
 func (g *Guard) Admit(ctx context.Context, suspects []crash.Suspect) error {
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -22,6 +22,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/moves"
@@ -64,6 +65,8 @@
 	Type    string // Content-Type header
 	Body    []byte
 	Timeout clock.Duration
+	// Suspects are the traits of the call that might crash servers.
+	Suspects []crash.Suspect
 }
 
 // Answer is the response of a backend server.
@@ -85,6 +88,15 @@
 
 var _ Journal = (*store.Store)(nil)
 
+// Guard collects which calls crash servers; guard.Guard implements it.
+type Guard interface {
+	Sent(service string)
+	Succeeded(service string, suspects []crash.Suspect, sentAt clock.Instant)
+	Broke(ctx context.Context, address string, b crash.Break)
+	// AwaitVerdict returns an error if calls with the traits must not be sent to another server.
+	AwaitVerdict(ctx context.Context, suspects []crash.Suspect) error
+}
+
 // Servers selects backend servers; roster.Roster implements it.
 type Servers interface {
 	TryAcquire(n roster.Requirements) *roster.Grant
@@ -104,6 +116,10 @@
 	Journal Journal
 	Servers Servers
 	HTTP    *http.Client
+	// Guard keeps calls that crash servers from further ones; it may be nil. OnTrial reports whether a move to
+	// a version is in progress.
+	Guard   Guard
+	OnTrial func(service, version string) bool
 	// Observe receives the result of each call as evidence on its version; it may be nil.
 	Observe func(moves.Observation)
 	Stats   Stats
@@ -227,6 +243,7 @@
 		}
 		started := c.Clock.Now()
 		answer, err := c.post(q, g.Address)
+		c.observeEnd(q, g, version, started, err)
 		g.Release(route.Outcome{Failed: err != nil})
 		c.observe(q, version, c.Clock.Now().Sub(started), err != nil || answer.Status >= http.StatusInternalServerError)
 		if err == nil || !engine.NotSent(err) {
@@ -238,6 +255,21 @@
 		Remedy("retry with the same key").WithRetryAfter(1)
 }
 
+// observeEnd reports a call that was completed, or whose connection broke, as it may have crashed the server.
+func (c *Executor) observeEnd(q Call, g *roster.Grant, version string, sentAt clock.Instant, err error) {
+	if c.Guard == nil || err != nil && engine.NotSent(err) {
+		return
+	}
+	c.Guard.Sent(q.Service)
+	if err == nil {
+		c.Guard.Succeeded(q.Service, q.Suspects, sentAt)
+		return
+	}
+	c.Guard.Broke(c.ctx, g.Address, crash.Break{
+		Service: q.Service, Server: g.StartID(), Run: crash.Run{SentAt: sentAt, Suspects: q.Suspects}, Explained: g.Leaving() || c.OnTrial(q.Service, version),
+	})
+}
+
 func (c *Executor) observe(q Call, version string, took clock.Duration, failed bool) {
 	if c.Observe == nil {
 		return
@@ -420,5 +452,10 @@
 			return Answer{}, fault.New(fault.Unknown, "the call was sent but not answered: %v", err).
 				Remedy("check whether it took effect before sending it again")
 		}
+		if c.Guard != nil {
+			if err := c.Guard.AwaitVerdict(c.ctx, q.Suspects); err != nil {
+				return Answer{}, fault.New(fault.Unknown, "the call was sent but not answered: %v", err).Remedy("change the call")
+			}
+		}
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -138,7 +138,7 @@
 		decisions: ring.New[drain.Method](1), callerSeenAt: r.Clock.Now(), startedAt: r.Clock.Now(),
 	}
 	s.route = r.Route(record.Service, record.Route)
-	s.suspects = guard.Suspects(record.Service, record.Body, record.Chat)
+	s.suspects = guard.CompletionSuspects(record.Account, record.Service, record.Body, record.Chat)
 	s.acked = len(record.State().Tokens)
 	r.mu.Lock()
 	r.budget.Earn()
