Pool: the head of a response is bounded

A server that sends a status line, a header or headers without end grew an entry daemon's heap by 1.6 to 3.6 GiB in 3 s (16 callers). Cause: net/http's ReadResponse has no limit of its own, and the pool reads it from a buffered reader. The head is read from an input with a limit of 64 KiB, that of callers' requests; beyond it the attempt fails and the connection is closed.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,15 +53,18 @@
 	maxSkippedResponses = 2
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response. It is that of callers' requests in package edge.
+	maxHeadBytes = 64 << 10
 	// maxInlineBody is the size up to which a body is written before the response is read. A
 	// larger one is written concurrently, as the server may respond before it has read it all.
 	maxInlineBody = 8 << 10
 )
 
-// ErrFull is returned by Get, ErrOtherResponse by Receive.
+// ErrFull is returned by Get, the others by Receive.
 var (
 	ErrFull          = errors.New("all connections to the server are in use")
 	ErrOtherResponse = errors.New("the connection carries responses to other requests")
+	ErrHeadTooLong   = errors.New("the head of the response is too long")
 )
 
 // Pool holds a daemon's connections to backend servers, by address. Set Clock before use.
@@ -88,6 +91,7 @@
 	address     string
 	net         *net.TCPConn
 	reader      *bufio.Reader
+	input       *limitedInput
 	expires     clock.Instant
 	mustClose   bool
 	bodyWritten chan error
@@ -173,7 +177,28 @@
 		return nil, err
 	}
 	p.Opened.Add(1)
-	return &Conn{pool: p, address: address, net: conn.(*net.TCPConn), reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	input := &limitedInput{from: conn}
+	return &Conn{pool: p, address: address, net: conn.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+}
+
+// limitedInput reads from a connection, up to a number of bytes while limited is set.
+type limitedInput struct {
+	from      io.Reader
+	limited   bool
+	remaining int
+}
+
+// Read returns ErrHeadTooLong when the limit is used up.
+func (l *limitedInput) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.from.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.from.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
@@ -274,7 +299,9 @@
 func (c *Conn) Receive(method string, accepts func(http.Header) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxSkippedResponses + 1 {
+		c.input.limited, c.input.remaining = true, maxHeadBytes
 		response, err := http.ReadResponse(c.reader, request)
+		c.input.limited = false
 		if err != nil {
 			return nil, err
 		}
