--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -15,7 +15,7 @@
 )
 
 // maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // errTruncatedEvent reports that a stream ended inside an event.
 var errTruncatedEvent = errors.New("the stream ended inside an event")
