--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -370,12 +370,12 @@
 // another attempt may replace it.
 func (a *attempt) handleResponse(ctx context.Context, server *place.Server, r *http.Response) retry.Result {
 	x, p := a.exchange, a.proxy
+	defer r.Body.Close()
 	defer func() {
 		if !a.complete {
 			// Close would read the rest of the body, which may not end.
 			a.conn.Abort()
 		}
-		r.Body.Close()
 	}()
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
 	if !info.Moved {
