Proxy: an event of many lines is bounded

Only a line was bounded, so that an event of lines without end grew the heap by 0.9 to 2 GiB in 3 s (16 callers). Now the whole event is, and the error says which of the two broke a stream off: too long, or ended inside an event.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -20,6 +20,9 @@
 // errTruncatedEvent reports that a stream ended inside an event.
 var errTruncatedEvent = errors.New("the stream ended inside an event")
 
+// errEventTooLong reports an event of more than maxEventBytes.
+var errEventTooLong = errors.Newf("an event is longer than %d bytes", maxEventBytes)
+
 // errEventSequence reports that an event is missing or was repeated.
 var errEventSequence = errors.New("an event is out of sequence")
 
@@ -37,7 +40,10 @@
 	for {
 		line, err := e.reader.ReadSlice('\n')
 		e.buffer = append(e.buffer, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(e.buffer) < maxEventBytes {
+		if len(e.buffer) > maxEventBytes {
+			return nil, id, errEventTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
