Proxy: a line of an event that fills the reader's buffer does not end the event

What callers saw: where a stream breaks off after a line of 1,024 bytes before the end of its event, they get the part of the event and then, from the resumed stream, the whole one. Cause: the rest of such a line is its line feed alone, which was taken for the empty line after an event.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -37,9 +37,10 @@
 func (e *eventReader) next() ([]byte, int64, error) {
 	e.buffer = e.buffer[:0]
 	id := int64(-1)
+	lineStart := 0
 	for {
-		line, err := e.reader.ReadSlice('\n')
-		e.buffer = append(e.buffer, line...)
+		part, err := e.reader.ReadSlice('\n')
+		e.buffer = append(e.buffer, part...)
 		if len(e.buffer) > maxEventBytes {
 			return nil, id, errEventTooLong
 		}
@@ -52,6 +53,8 @@
 			}
 			return nil, id, err
 		}
+		line := e.buffer[lineStart:]
+		lineStart = len(e.buffer)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				id = n
