--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -14,6 +14,7 @@
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
+	"swiftbeam/internal/spool"
 	"swiftbeam/internal/turns"
 	"swiftbeam/pkg/clock"
 )
@@ -356,16 +357,12 @@
 // Limits of responses that are not streams, which are buffered until they are complete.
 const (
 	maxResponse = 8 << 20
-	// maxSmallResponse is the size up to which a response may be buffered at any time. All larger ones together
-	// may use maxBuffered; further ones wait.
-	maxSmallResponse = 64 << 10
-	maxBuffered      = 32 << 20
+	// maxBuffered bounds all long responses together.
+	maxBuffered = 32 << 20
 	// maxRefusal is the size up to which the body of a refusal is read, so that its connection is kept.
 	maxRefusal = 64 << 10
 )
 
-var errResponseTooLong = errors.Newf("the response is longer than %d bytes", maxResponse)
-
 // handleResponse reads a response. It streams events to the caller and saves any other response, as
 // another attempt may replace it.
 func (a *attempt) handleResponse(ctx context.Context, server *place.Server, r *http.Response) retry.Result {
@@ -400,14 +397,15 @@
 	if success && strings.HasPrefix(r.Header.Get("Content-Type"), "text/event-stream") {
 		return a.stream(ctx, server, r)
 	}
-	body, err := x.readResponse(ctx, r)
+	body, err := p.spool().Read(ctx, r.Body, r.ContentLength)
 	if err != nil {
-		if !errors.Is(err, errResponseTooLong) {
+		if !errors.Is(err, spool.ErrTooLong) {
 			a.observeBreak(ctx, server)
 		}
 		return a.failed(ctx, server, "answer cut short", err)
 	}
 	a.complete = true
+	x.releaseSaved()
 	x.saved = &savedResponse{status: r.StatusCode, header: r.Header, body: body}
 	a.recordFirstResponse()
 	if r.StatusCode >= http.StatusInternalServerError {
@@ -416,68 +414,16 @@
 	return retry.Complete
 }
 
-// readResponse reads the body of a response in blocks. A body of more than maxSmallResponse waits for its share of
-// the buffers, which the exchange keeps until it ends.
-func (x *exchange) readResponse(ctx context.Context, r *http.Response) ([][]byte, error) {
-	x.releaseBuffers()
-	if r.ContentLength > maxResponse {
-		return nil, errResponseTooLong
-	}
-	var body [][]byte
-	total := 0
-	for {
-		block, err := readBlock(r, total)
-		if total += len(block); len(block) > 0 {
-			body = append(body, block)
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		case total >= maxResponse:
-			return nil, errResponseTooLong
-		case total >= maxSmallResponse && x.buffered == 0:
-			share := int64(maxResponse)
-			if r.ContentLength >= 0 {
-				share = r.ContentLength
-			}
-			if err := x.proxy.buffers.Acquire(ctx, share); err != nil {
-				return nil, errors.Wrap(err, "wait for other responses")
-			}
-			x.buffered = share
-		}
-	}
+// spool returns the memory for responses.
+func (p *Proxy) spool() *spool.Spool {
+	p.bodiesOnce.Do(func() { p.bodies.MaxBytes, p.bodies.TotalBytes = maxResponse, maxBuffered })
+	return &p.bodies
 }
 
-// releaseBuffers returns the space in the proxy's buffers that the exchange holds.
-func (x *exchange) releaseBuffers() {
-	if x.buffered > 0 {
-		x.proxy.buffers.Release(x.buffered)
-		x.buffered = 0
-	}
-}
-
-// firstBlock is the size of the first block of a body whose length is unknown; most are shorter.
-const firstBlock = 4 << 10
-
-// readBlock reads the next block of a body, of which a number of bytes were read before. The error is io.EOF after
-// the last byte of a complete body.
-func readBlock(r *http.Response, total int) ([]byte, error) {
-	size := maxSmallResponse
-	switch {
-	case r.ContentLength >= 0:
-		// One byte more finds the end.
-		size = min(size, int(r.ContentLength)-total+1)
-	case total == 0:
-		size = firstBlock
-	}
-	block := make([]byte, size)
-	for n := 0; ; {
-		k, err := r.Body.Read(block[n:])
-		if n += k; err != nil || n == size {
-			return block[:n], err
-		}
+// releaseSaved returns the memory of the saved response.
+func (x *exchange) releaseSaved() {
+	if x.saved != nil {
+		x.saved.body.Release()
 	}
 }
 
@@ -565,17 +511,13 @@
 	}
 	s := x.saved
 	x.copyHeader(s.header)
-	length := 0
-	for _, block := range s.body {
-		length += len(block)
-	}
-	x.w.Header().Set("Content-Length", strconv.Itoa(length))
+	x.w.Header().Set("Content-Length", strconv.Itoa(s.body.Length))
 	x.status, x.outcome = s.status, "served"
 	if a.Result == retry.Failed {
 		x.outcome = "failed by server"
 	}
 	x.w.WriteHeader(s.status)
-	for _, block := range s.body {
+	for _, block := range s.body.Blocks {
 		if _, err := x.w.Write(block); err != nil {
 			x.outcome, x.detail = "abandoned", err.Error()
 			return
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sync/semaphore"
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/moves"
@@ -31,6 +30,7 @@
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/spool"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/turns"
 	"swiftbeam/internal/usage"
@@ -134,8 +134,9 @@
 	// Draining makes each response ask the caller to close its connection.
 	Draining atomic.Bool
 
-	// buffers has the space for long responses. It is set with the first rules.
-	buffers *semaphore.Weighted
+	// bodies has the memory for responses.
+	bodies     spool.Spool
+	bodiesOnce sync.Once
 
 	rules atomic.Pointer[rules.Set]
 	// rulesArrived is closed when the first rules arrive; nil while no request waits for them.
@@ -213,9 +214,6 @@
 	if old := p.rules.Load(); old != nil && old.Version >= set.Version {
 		return false
 	}
-	if p.buffers == nil {
-		p.buffers = semaphore.NewWeighted(maxBuffered)
-	}
 	for i := range set.Services {
 		p.configure(p.serviceState(set.Services[i].Name), &set.Services[i])
 	}
@@ -349,7 +347,7 @@
 	p.Counts.Requests.Add(1)
 	x := &exchange{proxy: p, w: w, r: r, arrived: p.Clock.Now()}
 	x.serve()
-	x.releaseBuffers()
+	x.releaseSaved()
 	x.log()
 	if x.abort {
 		// net/http closes the connection without completing the response.
@@ -390,8 +388,6 @@
 	eventCount      int
 	firstResponseAt clock.Instant
 	saved           *savedResponse
-	// buffered is the space in the proxy's buffers that the exchange holds.
-	buffered int64
 
 	// abort closes the caller's connection instead of completing the response.
 	abort bool
@@ -409,8 +405,7 @@
 type savedResponse struct {
 	status int
 	header http.Header
-	// body contains the blocks of the body.
-	body [][]byte
+	body   *spool.Body
 }
 
 func (x *exchange) serve() {
