Engine: the head of a response of a backend server is bounded

Heads without end allocated 49 to 91 MiB for each call, as net/http allows 10 MB. The limit is 64 KiB, as at the entry daemons. Events are bounded by the library (64 KiB), bodies of errors already. TestEndlessAnswersOfEnginesEnd failed before for the three kinds of heads. The HTTP client for backend servers moves from package daemon to package engine, so that the test uses the product's.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -160,12 +160,12 @@
 	}
 	d.Guard = &guard.Guard{Self: self.Holder(), Clock: c, Store: d.Store, Net: d.Net, Log: log.WithName("guard")}
 	d.Relay = &relay.Relay{
-		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: backendClient()},
+		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: engine.NewHTTPClient()},
 		Versions: d.Canary, Guard: d.Guard, Log: log.WithName("relay"), Route: d.routeByName,
 	}
 	d.Roster.RemovalObserver = d.Relay
 	d.Once = &once.Executor{
-		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: backendClient(), Observe: d.Canary.Observe,
+		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: engine.NewHTTPClient(), Observe: d.Canary.Observe,
 		Guard: d.Guard, OnTrial: d.Canary.OnTrial,
 	}
 	d.Manage = &manage.Server{
@@ -178,23 +178,6 @@
 	d.Roster.Loads = d.Entry.Loads
 }
 
-// backendClient returns an HTTP client for backend servers. It returns redirects instead of following
-// them, and has no timeout: the context of each call limits it.
-func backendClient() *http.Client {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     30 * time.Second,
-	}
-	return &http.Client{
-		Transport:     transport,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// dialTimeout limits the time to open a connection to a backend server.
-const dialTimeout = 2 * clock.Second
-
 func (d *Daemon) registerServices() {
 	d.Runner.Add("net", d.Net)
 	d.Runner.Add("store", d.Store)
@@ -205,7 +188,7 @@
 	d.Runner.Add("relay", d.Relay)
 	d.Runner.Add("entry", d.Entry)
 	if address := d.Settings.CloudAddress; address != "" {
-		client := &cloud.Client{Address: address, HTTP: backendClient()}
+		client := &cloud.Client{Address: address, HTTP: engine.NewHTTPClient()}
 		d.Runner.Add("cloud", &cloud.NoticeWatcher{Client: client, Clock: d.options.Clock, Roster: d.Roster})
 		d.Runner.Add("buyer", &buyer.Buyer{
 			Self: d.Roster.Self.Holder(), Clock: d.options.Clock, Store: d.Store, Roster: d.Roster, Cloud: client,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -19,11 +19,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
 	"swiftbeam/internal/fault"
+	"swiftbeam/pkg/clock"
 )
 
 // Client sends requests to model engines.
@@ -31,6 +33,28 @@
 	HTTP *http.Client
 }
 
+// NewHTTPClient returns an HTTP client for backend servers. It returns redirects instead of following them, and
+// has no timeout: the context of each call limits it.
+func NewHTTPClient() *http.Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     30 * time.Second,
+		// A server may send headers without end.
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
+// dialTimeout limits the time to open a connection to a backend server.
+const dialTimeout = 2 * clock.Second
+
 // Call is one request to an engine.
 type Call struct {
 	ID string
