Once: answers of plain services are read into bounded memory

An answer without end ended in an error after 16 MiB, but the growing buffer allocated 34 MiB for it, and nothing bounded several at a time. They are read with package spool: 32 MiB for all long answers while they are read. TestEndlessAnswersEnd failed before (34 MiB for a call, 17 allowed).

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -17,6 +17,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	"swiftbeam/internal/roster"
 	"swiftbeam/internal/route"
 	"swiftbeam/internal/runner"
+	"swiftbeam/internal/spool"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/store"
 	"swiftbeam/pkg/clock"
@@ -49,7 +51,9 @@
 	// RecordTimeout.
 	CleanupTimeout = clock.Minute
 	// MaxAnswerBytes is the maximum size of a backend server's response body.
-	MaxAnswerBytes  = 16 << 20
+	MaxAnswerBytes = 16 << 20
+	// maxBuffered bounds all long answers together while they are read.
+	maxBuffered     = 32 << 20
 	maxSendAttempts = 3
 )
 
@@ -124,6 +128,9 @@
 	Observe func(moves.Observation)
 	Stats   Stats
 
+	bodies     spool.Spool
+	bodiesOnce sync.Once
+
 	ctx   context.Context
 	group *runner.Group
 }
@@ -305,14 +312,18 @@
 		return Answer{}, errors.Wrap(err, "call backend server")
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	body, err := c.spool().Read(r.Context(), response.Body, response.ContentLength)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read response")
 	}
-	if len(data) > MaxAnswerBytes {
-		return Answer{}, errors.New("response body is too long")
-	}
-	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: data}, nil
+	defer body.Release()
+	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: bytes.Join(body.Blocks, nil)}, nil
+}
+
+// spool returns the memory for answers while they are read.
+func (c *Executor) spool() *spool.Spool {
+	c.bodiesOnce.Do(func() { c.bodies.MaxBytes, c.bodies.TotalBytes = MaxAnswerBytes, maxBuffered })
+	return &c.bodies
 }
 
 // BackendKey returns the idempotency key that is sent to backend servers; it is unique across
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -276,3 +278,57 @@
 		t.Errorf("got %d runs for 2 calls, want %d", got, want)
 	}
 }
+
+// endlessBody is a body without end. It counts the bytes that were read.
+type endlessBody struct{ read atomic.Int64 }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read.Add(int64(len(p)))
+	return len(p), nil
+}
+
+func (b *endlessBody) Close() error { return nil }
+
+// endlessServer answers each call with a body without end.
+type endlessServer struct{ bodies sync.Map }
+
+func (e *endlessServer) RoundTrip(*http.Request) (*http.Response, error) {
+	body := &endlessBody{}
+	e.bodies.Store(body, true)
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body, ContentLength: -1}, nil
+}
+
+// TestEndlessAnswersEnd reads answers without end at the same time. Each must end with an error after a bounded
+// number of bytes, without the copies that a growing buffer makes.
+func TestEndlessAnswersEnd(t *testing.T) {
+	const callers = 8
+	server := &endlessServer{}
+	c := &Executor{HTTP: &http.Client{Transport: server}, ctx: context.Background()}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var work sync.WaitGroup
+	for range callers {
+		work.Go(func() {
+			r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://server/deposits", nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if _, err := c.read(r); err == nil {
+				t.Error("got an answer, want an error")
+			}
+		})
+	}
+	work.Wait()
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / callers; got > MaxAnswerBytes+1<<20 {
+		t.Errorf("allocated for a call: got %d MiB, want at most %d MiB", got>>20, MaxAnswerBytes>>20+1)
+	}
+	server.bodies.Range(func(body, _ any) bool {
+		if got := body.(*endlessBody).read.Load(); got > MaxAnswerBytes+1<<20 {
+			t.Errorf("bytes read: got %d MiB, want at most %d MiB", got>>20, MaxAnswerBytes>>20+1)
+		}
+		return true
+	})
+}
