--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -42,10 +42,23 @@
 // PartTrait returns the trait of prompts for a service that contain a part.
 func PartTrait(service, part string) Trait { return newTrait("part", service, part) }
 
-// RequestTrait returns the trait of the requests that are the same: of one client account to a service, with
-// the same method, host, target and body. Nobody else can send a request with this trait.
-func RequestTrait(service, account, method, host, target string, body []byte) Trait {
-	return newTrait("request", service, account, method, host, target, string(body))
+// Identity is what makes two requests to a service the same.
+type Identity struct {
+	Account string
+	Method  string
+	Host    string
+	Target  string
+	Model   string
+	// Parts are the IDs of all parts of the prompt.
+	Parts []string
+	Body  []byte
+}
+
+// RequestTrait returns the trait of all requests to a service that are the same. As it contains the account, nobody
+// else can send one.
+func RequestTrait(service string, i *Identity) Trait {
+	texts := append([]string{"request", service, i.Account, i.Method, i.Host, i.Target, i.Model, string(i.Body)}, i.Parts...)
+	return newTrait(texts...)
 }
 
 // newTrait returns a digest of texts. Callers choose some of them, so it must be free of collisions.
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -180,7 +180,7 @@
 	for _, part := range parts {
 		suspect := Suspect{Trait: PartTrait("engine", part), Name: part}
 		if w.plain {
-			suspect = Suspect{Trait: RequestTrait("engine", "account", "GET", "host", part, nil), Kind: Request, Name: part}
+			suspect = Suspect{Trait: RequestTrait("engine", &Identity{Target: part}), Kind: Request, Name: part}
 		}
 		r.Suspects = append(r.Suspects, suspect)
 	}
@@ -454,19 +454,33 @@
 	}
 }
 
-// TestSoundRequestsAreNotBlocked ends the servers of a plain service in quick succession. Some of its requests
-// come again and again, as those for a popular page.
+// TestSoundRequestsAreNotBlocked ends the servers of a plain service, one after the other or all within a short
+// time. Some of its requests come again and again, as those for a popular page.
 func TestSoundRequestsAreNotBlocked(t *testing.T) {
-	for _, s := range sizes {
-		for seed := range s.seeds() {
-			t.Run(fmt.Sprintf("%d daemons, seed %d", s.daemons, seed), func(t *testing.T) {
-				w := plainWorld(t, uint64(seed), s)
-				w.arrivals(s.perSecond/10, func() { w.send(w.anyDaemon(), []string{"popular"}) })
-				w.runFor(5 * clock.Second)
-				w.arrivals(1, func() { w.end(w.servers[w.random.IntN(len(w.servers))], true) })
-				w.runFor(60 * clock.Second)
-				w.checkBlocked()
+	causes := map[string]func(w *world){
+		"crashes": func(w *world) {
+			w.arrivals(1, func() { w.end(w.servers[w.random.IntN(len(w.servers))], true) })
+		},
+		"all": func(w *world) {
+			w.every(7*clock.Second, func() {
+				for _, s := range w.servers {
+					w.after(clock.Duration(w.random.IntN(200)), func() { w.end(s, true) })
+				}
 			})
+		},
+	}
+	for name, cause := range causes {
+		for _, s := range sizes {
+			for seed := range s.seeds() {
+				t.Run(fmt.Sprintf("%s, %d daemons, seed %d", name, s.daemons, seed), func(t *testing.T) {
+					w := plainWorld(t, uint64(seed), s)
+					w.arrivals(s.perSecond/4, func() { w.send(w.anyDaemon(), []string{"popular"}) })
+					w.runFor(5 * clock.Second)
+					cause(w)
+					w.runFor(60 * clock.Second)
+					w.checkBlocked()
+				})
+			}
 		}
 	}
 }
@@ -720,3 +734,35 @@
 		}
 	}
 }
+
+// TestTraitsAreKeptApart compares the traits of requests and parts that differ in one thing, or in where one thing
+// ends and the next begins.
+func TestTraitsAreKeptApart(t *testing.T) {
+	base := Identity{Account: "a", Method: "POST", Host: "h", Target: "/x", Model: "m", Parts: []string{"1", "2"}, Body: []byte("body")}
+	traits := map[Trait]string{RequestTrait("s", &base): "base"}
+	for name, change := range map[string]func(i *Identity){
+		"account": func(i *Identity) { i.Account = "b" }, "method": func(i *Identity) { i.Method = "PUT" }, "host": func(i *Identity) { i.Host = "g" },
+		"target": func(i *Identity) { i.Target = "/y" }, "model": func(i *Identity) { i.Model = "n" }, "body": func(i *Identity) { i.Body = []byte("bodx") },
+		"part": func(i *Identity) { i.Parts = []string{"1", "3"} }, "no parts": func(i *Identity) { i.Parts = nil }, "joined parts": func(i *Identity) { i.Parts = []string{"12"} },
+		"shifted": func(i *Identity) { i.Account, i.Method = "aP", "OST" }, "empty body": func(i *Identity) { i.Body = nil },
+	} {
+		changed := base
+		change(&changed)
+		trait := RequestTrait("s", &changed)
+		if other, ok := traits[trait]; ok {
+			t.Errorf("%s: got the trait of %s, want another", name, other)
+		}
+		traits[trait] = name
+	}
+	for _, trait := range []Trait{RequestTrait("r", &base), PartTrait("s", "1"), PartTrait("s", "2"), PartTrait("r", "1"), PartTrait("s1", "")} {
+		if other, ok := traits[trait]; ok {
+			t.Errorf("got the trait of %s twice, want another", other)
+		}
+		traits[trait] = "part or other service"
+	}
+	again := base
+	again.Parts, again.Body = slices.Clone(base.Parts), slices.Clone(base.Body)
+	if got, want := RequestTrait("s", &again), RequestTrait("s", &base); got != want {
+		t.Errorf("the same request: got %v, want %v", got, want)
+	}
+}
--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -102,8 +102,7 @@
 	return *end, true
 }
 
-// Succeeded records that a request was completed. The request itself is remembered only if it is suspected, as
-// most do not come again.
+// Succeeded records that a request was completed.
 func (w *Watch) Succeeded(suspects []Suspect, sentAt, at clock.Instant) {
 	if len(w.recent) >= maxRecent {
 		w.older, w.recent = w.recent, nil
@@ -113,9 +112,6 @@
 	}
 	for i := range suspects {
 		trait := suspects[i].Trait
-		if suspects[i].Kind == Request && w.records[trait] == nil {
-			continue
-		}
 		s := w.success(trait)
 		w.recent[trait] = Success{Trait: trait, SentAt: max(s.SentAt, sentAt), At: max(s.At, at)}
 	}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -141,7 +141,8 @@
 func CompletionSuspects(account, service string, body []byte, chat bool) []crash.Suspect {
 	path := engine.Path(chat)
 	suspects := []crash.Suspect{{
-		Trait: crash.RequestTrait(service, account, http.MethodPost, "", path, body), Kind: crash.Request, Name: "POST " + path + " of " + account,
+		Trait: crash.RequestTrait(service, &crash.Identity{Account: account, Method: http.MethodPost, Target: path, Body: body}),
+		Kind:  crash.Request, Name: shorten("POST " + path + " of " + account),
 	}}
 	if !chat {
 		return suspects
@@ -161,7 +162,8 @@
 // CallSuspects returns the trait of a call to a plain service, which is the call itself.
 func CallSuspects(account, service, method, target string, body []byte) []crash.Suspect {
 	return []crash.Suspect{{
-		Trait: crash.RequestTrait(service, account, method, "", target, body), Kind: crash.Request, Name: shorten(method + " " + target),
+		Trait: crash.RequestTrait(service, &crash.Identity{Account: account, Method: method, Target: target, Body: body}),
+		Kind:  crash.Request, Name: shorten(method + " " + target),
 	}}
 }
 
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -20,6 +20,9 @@
 	// due or under way, or there is none.
 	minBlockedRetryAfter = 2 * clock.Second
 	noTrialRetryAfter    = clock.Hour
+	// maxRememberedBody is the length of a body up to which a request that was completed is remembered, so that
+	// it is known to be sound when it comes again.
+	maxRememberedBody = 16 << 10
 	// maxNameBytes bounds the ID of a part in logs and reports.
 	maxNameBytes = 64
 )
@@ -38,8 +41,8 @@
 	return suspects
 }
 
-// identify adds the request itself to its traits. This reads the whole body, so it is done only when a server
-// has ended under the request, or while such traits are known of others.
+// identify adds the request itself to its traits. This reads the whole body, so a long one is read only when a
+// server has ended under the request, or while such traits are known of others.
 func (x *exchange) identify() {
 	if x.identified {
 		return
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -220,6 +220,9 @@
 	// The limit applies to all entry daemons together; each opens an equal part.
 	maxConnections = max(maxConnections/entries, 1)
 	result := a.roundTrip(ctx, server, maxConnections)
+	if result == retry.Complete && len(x.body) <= maxRememberedBody {
+		x.identify()
+	}
 	p.mu.Lock()
 	failed := result == retry.Incomplete || result == retry.Failed || result == retry.TimedOut && x.deadline.Sub(x.arrived) > clock.Second
 	if ctx.Err() != nil && x.r.Context().Err() != nil {
@@ -306,7 +309,13 @@
 
 // requestTrait returns the trait that the request shares with its repetitions.
 func (x *exchange) requestTrait() crash.Trait {
-	return crash.RequestTrait(x.service, x.accountName(), x.r.Method, x.r.Host, x.r.RequestURI, x.body)
+	identity := crash.Identity{
+		Account: x.accountName(), Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Model: x.request.Model, Body: x.body,
+	}
+	for _, part := range x.request.Parts {
+		identity.Parts = append(identity.Parts, part.ID)
+	}
+	return crash.RequestTrait(x.service, &identity)
 }
 
 // requestHead returns the request line and the headers as they are sent.
