Daemons handle signals before their listeners open

What callers see: a daemon that is stopped, or gets SIGHUP as its settings changed, right after its start ends at once and cuts off the requests that it has accepted. Cause: signals were handled only after the start, which opens the listeners; until then SIGTERM and SIGHUP end the process. The soak's planned stops wait for the log line of the start, before which nothing listens.

--- a/cmd/swiftbeam/daemon.go
+++ b/cmd/swiftbeam/daemon.go
@@ -69,6 +69,9 @@
 // runDaemon runs a daemon until the first SIGTERM or interrupt, and then stops it gracefully. A second
 // signal exits at once with a failure.
 func runDaemon(ctx context.Context, s *setup.Settings) error {
+	// From before the listeners open, as a signal without a handler ends the process at once.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	d, err := daemon.New(s, daemon.Options{Log: newLogger(os.Stderr)})
 	if err != nil {
 		return err
@@ -76,8 +79,6 @@
 	if err := d.Start(ctx); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	<-signals
 	go func() {
 		<-signals
--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -91,6 +91,9 @@
 		<-logDone
 	}()
 	log := newLogger(logs).WithValues("daemon", s.Name)
+	// From before the listeners open, as a signal without a handler ends the process at once.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	log.Info("starting", "role", s.Role.String(), "zone", s.Zone, "seeds", s.Seeds, "found", s.Found, "go", runtime.Version())
 	registry := metrics.NewRegistry()
 	meter.RegisterGauge(registry, "log.linesDropped", logs.Dropped.Load)
@@ -100,8 +103,6 @@
 		return err
 	}
 	serveMetrics(s.Metrics, registry, log)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	awaitStop(signals, path, n, log)
 	go func() {
 		for sig := range signals {
