Crash: requests whose connections break after the server was checked are evidence too

Requests whose connection broke after the check made a second report of the same end, which the table dropped as a repetition. The harmful request was among them at times, so that its ends were counted too few. Now they are added to the end that is reported already, and the table adds what is new in it.

TestBreaksAfterTheCheckAreReported failed before.

--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -766,3 +766,36 @@
 		t.Errorf("the same request: got %v, want %v", got, want)
 	}
 }
+
+// TestBreaksAfterTheCheckAreReported lets the connection of a second request break after the server was found to
+// have ended. It must be in the reports too, and in the table once.
+func TestBreaksAfterTheCheckAreReported(t *testing.T) {
+	watch := Watch{Daemon: "entry-1"}
+	var table Table
+	broke := func(name string) bool {
+		return watch.Broke(Break{Server: "i-1", At: simStart, Run: Run{SentAt: simStart - 50, Suspects: []Suspect{{Trait: PartTrait("s", name), Name: name}}}})
+	}
+	report := func() {
+		e := watch.Report(simStart)
+		news := table.Filter(simStart, &e)
+		table.Apply(simStart, &news)
+	}
+	if !broke("first") {
+		t.Error("the server of the first break is not checked")
+	}
+	watch.Checked("i-1", true)
+	report()
+	if broke("second") {
+		t.Error("the server is checked again")
+	}
+	report()
+	report()
+	for _, name := range []string{"first", "second"} {
+		if r := table.Records[PartTrait("s", name)]; r == nil || r.Broken != 1 {
+			t.Errorf("%s: got %+v, want a record with one break", name, r)
+		}
+	}
+	if got, want := table.Ends[0].Runs, 2; got != want {
+		t.Errorf("requests of the end: got %d, want %d", got, want)
+	}
+}
--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -85,9 +85,7 @@
 		t.addSuccess(&e.Successes[i])
 	}
 	for i := range e.Ends {
-		if !t.knows(&e.Ends[i]) {
-			t.addEnd(now, &e.Ends[i])
-		}
+		t.addEnd(now, &e.Ends[i])
 	}
 	for _, trial := range e.Trials {
 		if r := t.Records[trial.Trait]; r != nil && r.trialDue(now) {
@@ -108,7 +106,7 @@
 func (t *Table) Filter(now clock.Instant, e *Evidence) Evidence {
 	var news Evidence
 	for i := range e.Ends {
-		if !t.knows(&e.Ends[i]) {
+		if known := t.find(&e.Ends[i]); known == nil || known.Runs < len(e.Ends[i].Runs) {
 			news.Ends = append(news.Ends, e.Ends[i])
 		}
 	}
@@ -183,23 +181,32 @@
 	return c
 }
 
-// knows reports whether the end was added before. Daemons repeat their reports.
-func (t *Table) knows(e *End) bool {
-	return slices.ContainsFunc(t.Ends, func(known EndSummary) bool { return known.Server == e.Server && known.Daemon == e.Daemon })
+// find returns the end as it was added before, or nil. Daemons repeat their reports, and add requests whose
+// connections broke a little later.
+func (t *Table) find(e *End) *EndSummary {
+	i := slices.IndexFunc(t.Ends, func(known EndSummary) bool { return known.Server == e.Server && known.Daemon == e.Daemon })
+	if i < 0 {
+		return nil
+	}
+	return &t.Ends[i]
 }
 
 func (t *Table) addEnd(now clock.Instant, e *End) {
-	if len(t.Ends) >= maxEnds {
-		t.Ends = slices.Clone(t.Ends[1:])
+	known := t.find(e)
+	if known == nil {
+		if len(t.Ends) >= maxEnds {
+			t.Ends = slices.Clone(t.Ends[1:])
+		}
+		// A daemon's clock that is ahead must not keep later ends from being counted.
+		t.Ends = append(t.Ends, EndSummary{Service: e.Service, Server: e.Server, Daemon: e.Daemon, At: min(e.At, now)})
+		known = &t.Ends[len(t.Ends)-1]
 	}
-	// A daemon's clock that is ahead must not keep later ends from being counted.
-	at := min(e.At, now)
-	t.Ends = append(t.Ends, EndSummary{Service: e.Service, Server: e.Server, Daemon: e.Daemon, At: at, Runs: len(e.Runs)})
-	for _, run := range e.Runs {
+	for _, run := range e.Runs[min(known.Runs, len(e.Runs)):] {
 		for _, suspect := range run.Suspects {
-			t.addRun(now, e.Service, BrokenRun{Server: e.Server, SentAt: run.SentAt, At: at}, suspect)
+			t.addRun(now, e.Service, BrokenRun{Server: e.Server, SentAt: run.SentAt, At: known.At}, suspect)
 		}
 	}
+	known.Runs = max(known.Runs, len(e.Runs))
 }
 
 // addRun adds a request to the record of a trait.
--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -63,6 +63,13 @@
 	if b.Explained || b.RespondedAt > 0 && b.At.Sub(b.RespondedAt) > beginningTime {
 		return false
 	}
+	if i := slices.IndexFunc(w.ends, func(e End) bool { return e.Server == b.Server }); i >= 0 {
+		// The table counts the requests of an end, so none is dropped from one that was reported.
+		if len(w.ends[i].Runs) < maxRuns {
+			w.ends[i].Runs = append(w.ends[i].Runs, b.Run)
+		}
+		return false
+	}
 	end := w.checks[b.Server]
 	checking := end != nil
 	if !checking {
--- a/internal/guard/recorder.go
+++ b/internal/guard/recorder.go
@@ -50,7 +50,9 @@
 	defer r.mu.Unlock()
 	for _, end := range e.Ends {
 		same := func(o crash.End) bool { return o.Server == end.Server && o.Daemon == end.Daemon }
-		if len(r.queued.Ends) < maxQueuedEnds && !slices.ContainsFunc(r.queued.Ends, same) {
+		if i := slices.IndexFunc(r.queued.Ends, same); i >= 0 {
+			r.queued.Ends[i] = end
+		} else if len(r.queued.Ends) < maxQueuedEnds {
 			r.queued.Ends = append(r.queued.Ends, end)
 		}
 	}
