Proxy: a request ends at most two servers before it is known to crash them

Now a request of which two servers broke off soon after they began it is not sent to a third; streams that have run for a while are resumed as before. It costs the third attempt of a sound request whose two servers end one after the other.

--- a/internal/crash/watch.go
+++ b/internal/crash/watch.go
@@ -57,10 +57,16 @@
 	used   map[Trait]int
 }
 
+// Beginning reports whether the request may have crashed the server: the server had just begun it, and its end
+// has no other likely reason.
+func (b *Break) Beginning() bool {
+	return !b.Explained && (b.RespondedAt == 0 || b.At.Sub(b.RespondedAt) <= beginningTime)
+}
+
 // Broke records a break. It reports whether the caller has to check whether the server has ended, and call
 // Checked.
 func (w *Watch) Broke(b Break) bool {
-	if b.Explained || b.RespondedAt > 0 && b.At.Sub(b.RespondedAt) > beginningTime {
+	if !b.Beginning() {
 		return false
 	}
 	if i := slices.IndexFunc(w.ends, func(e End) bool { return e.Server == b.Server }); i >= 0 {
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -20,6 +20,9 @@
 	// due or under way, or there is none.
 	minBlockedRetryAfter = 2 * clock.Second
 	noTrialRetryAfter    = clock.Hour
+	// maxBreaks is the number of servers to which a request is sent that break off soon after they began it.
+	// Learning that it crashes servers takes longer than a retry.
+	maxBreaks = 2
 	// maxRememberedBody is the length of a body up to which a request that was completed is remembered, so that
 	// it is known to be sound when it comes again.
 	maxRememberedBody = 16 << 10
@@ -145,6 +148,9 @@
 	}
 	check := p.crashes.Broke(b)
 	p.mu.Unlock()
+	if b.Beginning() {
+		x.breaks++
+	}
 	if !check {
 		return
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -166,7 +166,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if a.Result == retry.Incomplete && p.crashes.Suspected(x.suspects) {
+	if a.Result == retry.Incomplete && (x.breaks >= maxBreaks || p.crashes.Suspected(x.suspects)) {
 		return false
 	}
 	return p.serviceState(x.service).Budget.Take(now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -372,6 +372,8 @@
 	// identified is set.
 	suspects   []crash.Suspect
 	identified bool
+	// breaks counts the servers that broke off soon after they began the request.
+	breaks int
 	// trial is set if the request is the trial of a blocked trait.
 	trial bool
 
