Proxy, pool: attempts that could not connect log how long they took; the pool's dialer has a seam

The line 'could not connect to backend server' now has the service, the time taken, the time for which the server is ejected from then on, and the service time that placing assumes.

pool.Pool.Dial lets a test cut one daemon off from all servers. No decision changes.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -70,6 +70,9 @@
 // Pool holds a daemon's connections to backend servers, by address. Set Clock before use.
 type Pool struct {
 	Clock clock.Clock
+	// Dial replaces the DialContext method of a net.Dialer if it is not nil. The connections that it
+	// returns must be of type *net.TCPConn. Tests cut a daemon off from its servers with it.
+	Dial dial.Func
 	// Opened counts the connections that were opened.
 	Opened atomic.Int64
 
@@ -171,7 +174,11 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout))
 		})
 	}}
-	conn, err := dial.Repeater{Timeout: DialTimeout, Dial: d.DialContext}.DialContext(ctx, "tcp4", address)
+	open := p.Dial
+	if open == nil {
+		open = d.DialContext
+	}
+	conn, err := dial.Repeater{Timeout: DialTimeout, Dial: open}.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		p.releaseSlot(address)
 		return nil, err
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -238,13 +238,17 @@
 
 func (a *attempt) roundTrip(ctx context.Context, server *place.Server, maxConnections int) retry.Result {
 	x, p := a.exchange, a.proxy
+	startedAt := p.Clock.Now()
 	conn, err := p.Pool.Get(ctx, server.Address, maxConnections)
 	if err != nil {
 		if !errors.Is(err, pool.ErrFull) && ctx.Err() == nil {
+			now := p.Clock.Now()
 			p.mu.Lock()
-			server.Unreachable(p.Clock.Now())
+			server.Unreachable(now)
+			ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
 			p.mu.Unlock()
-			p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "address", server.Address, "error", err.Error())
+			p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
+				"error", err.Error(), "tookMs", int64(now.Sub(startedAt)), "ejectedMs", int64(ejected), "serviceTimeMs", int(serviceTime))
 		}
 		return retry.Unsent
 	}
