Place: an attempt that did not reach its server proves nothing about it

Cause: Finish was told 'not failed' for an attempt of which no byte was sent, for rejections and for requests whose caller had left. The 0.8 s until the connection attempt ended entered the service time (28 ms rose to 468 in the log), and a failed probe of an ejected server admitted it again, with its count of ejections reset. Results now are Completed, Failed, Rejected and Inconclusive: only the first enters the service time, the last changes nothing.

TestUnsentRequestsProveNothing failed before ('end of the ejection after a failed probe at 3600: got 0').

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -7,7 +7,7 @@
 //	choice := service.Choose(&query)
 //	assignment := service.Start(now, choice, &query)
 //	service.FirstResponse(assignment)       // the first event or the response arrived
-//	service.Finish(now, assignment, failed)
+//	service.Finish(now, assignment, place.Completed)
 //
 // The estimate adds the prompts that wait for prefill, the part of the prompt that the server has
 // not cached, and the step time of its batch. The load from this daemon's own requests is exact;
@@ -131,6 +131,21 @@
 	Cached int
 }
 
+//go:generate ../../.tools/stringer -type=Result -output=result_string.go
+
+// Result is how an assignment ended.
+type Result uint8
+
+const (
+	Completed Result = iota
+	// Failed: the server did not give a complete response without an error.
+	Failed
+	// Rejected: the server did not run the request.
+	Rejected
+	// Inconclusive: the request did not reach the server, or its caller left.
+	Inconclusive
+)
+
 // Assignment is a request that was sent to a server.
 type Assignment struct {
 	Server    *Server
@@ -393,14 +408,18 @@
 }
 
 // Finish records the end of a request. A failure raises the failure rate of the server.
-func (s *Service) Finish(now clock.Instant, a *Assignment, failed bool) {
+func (s *Service) Finish(now clock.Instant, a *Assignment, result Result) {
 	s.FirstResponse(a)
 	a.Server.Local.Requests--
 	a.Server.Local.Memory -= a.memory
-	if !failed {
+	if result == Inconclusive {
+		a.Server.Probing = false
+		return
+	}
+	if result == Completed {
 		s.Costs.ServiceTime += averageWeight / 4 * (float64(now.Sub(a.Started)) - s.Costs.ServiceTime)
 	}
-	a.Server.recordResult(now, failed)
+	a.Server.recordResult(now, result == Failed)
 }
 
 // recordResult ejects a server that fails often, and admits it again after a successful probe.
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -71,7 +71,7 @@
 				s.FirstResponse(r.assignment)
 			}
 			if r.end <= now {
-				s.Finish(clock.Instant(now), r.assignment, false)
+				s.Finish(clock.Instant(now), r.assignment, Completed)
 			} else {
 				rest = append(rest, r)
 			}
@@ -140,7 +140,11 @@
 		if c.Server == failing {
 			sent++
 		}
-		s.Finish(now, a, c.Server == failing)
+		result := Completed
+		if c.Server == failing {
+			result = Failed
+		}
+		s.Finish(now, a, result)
 	}
 	if sent > 20 {
 		t.Errorf("got %d of 400 requests at the failing server, want at most 20", sent)
@@ -153,7 +157,7 @@
 		if c.Server == failing {
 			recovered++
 		}
-		s.Finish(now, s.Start(now, c, q), false)
+		s.Finish(now, s.Start(now, c, q), Completed)
 	}
 	if recovered < 100 {
 		t.Errorf("got %d of 2000 requests at the recovered server, want at least 100", recovered)
@@ -171,6 +175,33 @@
 	}
 }
 
+// TestUnsentRequestsProveNothing checks that attempts which did not reach their server neither count as service time
+// nor admit an ejected server again.
+func TestUnsentRequestsProveNothing(t *testing.T) {
+	s := service(3)
+	before := s.Costs.ServiceTime
+	unreachable := s.Servers[0]
+	for now := clock.Instant(1000); now < 20_000; now += 900 {
+		q := &Query{Now: now, Zone: "z", Tokens: 10, Avoid: []string{s.Servers[1].ID, s.Servers[2].ID}}
+		c := s.Choose(q)
+		if c.Server != unreachable {
+			continue
+		}
+		a := s.Start(now, c, q)
+		unreachable.Unreachable(now + 800)
+		s.Finish(now+800, a, Inconclusive)
+		if got := unreachable.EjectedUntil; got <= now+800 {
+			t.Fatalf("end of the ejection after a failed probe at %d: got %d, want a later time", now+800, got)
+		}
+	}
+	if got := s.Costs.ServiceTime; got != before {
+		t.Errorf("service time after attempts that were not sent: got %.0f ms, want %.0f", got, before)
+	}
+	if got, want := unreachable.EjectedUntil, clock.Instant(20_000); got < want {
+		t.Errorf("end of the ejection after failed probes: got %d, want at least %d, as each doubles it", got, want)
+	}
+}
+
 // TestBarredVersionGetsNothing checks that a version that the query excludes receives no requests.
 func TestBarredVersionGetsNothing(t *testing.T) {
 	s := service(4)
@@ -205,7 +236,7 @@
 			for i := range b.N {
 				q := &Query{Now: 1000, Zone: "z", Tokens: 12_000, Parts: prompt(i%100, i, 6000), Draw: uint64(i)}
 				c := s.Choose(q)
-				s.Finish(1000, s.Start(1000, c, q), false)
+				s.Finish(1000, s.Start(1000, c, q), Completed)
 			}
 		})
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -228,7 +228,7 @@
 	if ctx.Err() != nil && x.r.Context().Err() != nil {
 		failed = false
 	}
-	service.Finish(p.Clock.Now(), a.assignment, failed)
+	service.Finish(p.Clock.Now(), a.assignment, placeResult(result, failed))
 	a.observeEnd(service, result, failed, x.eventCount-eventsBefore)
 	a.observeCompletion(service, result)
 	service.Output += uint64((x.eventCount - eventsBefore) * service.EventTokens)
@@ -236,6 +236,19 @@
 	return result
 }
 
+// placeResult returns the result of an attempt as evidence about its server.
+func placeResult(result retry.Result, failed bool) place.Result {
+	switch {
+	case failed:
+		return place.Failed
+	case result == retry.Complete:
+		return place.Completed
+	case result == retry.NotRun || result == retry.Moved:
+		return place.Rejected
+	}
+	return place.Inconclusive
+}
+
 func (a *attempt) roundTrip(ctx context.Context, server *place.Server, maxConnections int) retry.Result {
 	x, p := a.exchange, a.proxy
 	startedAt := p.Clock.Now()
