Detour: requests of a daemon that cannot reach the servers go through another entry daemon

Cause: a daemon had only the direct way to a server, and nothing told 'I am cut off' from 'this server is bad'. Its class is a belief that is kept for each server where the fault is the observer's.

A daemon that is not cut off sends its address once to each leader and nothing else. Open connections that still respond are used in a cut. A probe opens one connection in 0.5 s; requests return over a second, those that must not run twice last.

--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"connectrpc.com/connect"
 
+	"swiftbeam/internal/detour"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/moves"
@@ -45,6 +47,7 @@
 	reportedCounts map[string]demandCounts
 	evidence       moves.Aggregator
 	limits         turns.Registry
+	helpers        detour.Registry
 	// calling contains the purposes for which calls to the cloud run now.
 	calling map[string]bool
 	// nextCallAt is the time of the next call that the rate of calls allows.
@@ -87,6 +90,7 @@
 	d.evidence = moves.Aggregator{}
 	d.evidence.SetShortMoves()
 	d.limits = turns.Registry{}
+	d.helpers = detour.Registry{}
 }
 
 // receiveReport processes the report of an entry daemon. Its cost does not depend on the number of
@@ -108,6 +112,7 @@
 		}
 		d.loads.Receive(now, name, reported)
 		out.Others, out.HasOthers = d.totals.others(now, &d.loads, name)
+		out.Helpers = d.offerHelpers(now, m, reported)
 	}
 	c.exchangeLimits(m, out)
 	c.crashes.Add(wire.EvidenceFromPB(m.GetCrashes()))
@@ -127,6 +132,27 @@
 	return out
 }
 
+// offerHelpers records how the daemon reaches the servers, and returns helpers if it asks for some.
+func (d *dutyState) offerHelpers(now clock.Instant, m *peerpb.TallyRequest, reported []loads.Server) []*peerpb.Helper {
+	name := m.GetName()
+	if p := m.GetPeer(); p != nil {
+		d.helpers.Register(now, name, p.GetAddress(), p.GetZone())
+	}
+	load := 0
+	for i := range reported {
+		load += reported[i].Load.Requests
+	}
+	d.helpers.Report(now, name, load, m.GetUnreached(), m.GetStopping() || m.GetLast())
+	if !m.GetHelpersWanted() {
+		return nil
+	}
+	var list []*peerpb.Helper
+	for _, h := range d.helpers.Offer(now, name, m.GetUnreached(), rand.IntN) {
+		list = append(list, wire.HelperToPB(&h))
+	}
+	return list
+}
+
 // maxLimits bounds the request limits of servers in one message. Further ones follow in the next.
 const maxLimits = 32
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/crash"
+	"swiftbeam/internal/detour"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/meter"
@@ -71,6 +72,8 @@
 	Settings *setup.Node
 	Proxy    *proxy.Proxy
 	Pool     *pool.Pool
+	// PeerPool holds the connections to other entry daemons.
+	PeerPool *pool.Pool
 	Net      *peers.Net
 	Follower *feed.Follower
 
@@ -88,6 +91,8 @@
 	cancel          context.CancelFunc
 	callerServer    *http.Server
 	readinessServer *http.Server
+	// peerServer takes requests of other entry daemons; nil if the settings name no address for it.
+	peerServer *http.Server
 
 	mu    sync.Mutex
 	table enrol.Table
@@ -108,12 +113,16 @@
 	e.SetSeeds(s.Seeds)
 	e.Net = peers.New(peers.Options{Token: s.PeerToken})
 	e.Pool = &pool.Pool{Clock: e.clock}
+	e.PeerPool = &pool.Pool{Clock: e.clock}
 	e.Proxy = &proxy.Proxy{
 		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, ClusterTime: func() clock.Instant { return e.Follower.ClusterTime() },
 		RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure),
 		Retries: retry.Budget{Ratio: retryBudgetFraction * s.Retries.Ratio, Slack: retryBudgetFraction * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
 	e.Proxy.ReportCrashes = e.triggerReport
+	e.Proxy.Peers = proxy.Peers{Name: s.Name, Token: s.PeerToken, Pool: e.PeerPool, RequestHelpers: e.triggerReport}
+	e.Proxy.UpdateHelpers(func(h *detour.Helpers) { h.Zone = s.Zone })
+	e.Pool.TimedOut = e.Proxy.ObserveTimeout
 	e.Proxy.SetWindows(s.Duties.UsageWindow, s.Quota.Window)
 	e.Follower = &feed.Follower{
 		Name: s.Name, Zone: s.Zone, Entry: true, Clock: e.clock, WallClock: &feed.WallClock{Clock: e.clock, Log: o.Log}, Log: o.Log, Client: e.Net.FeedClient,
@@ -134,7 +143,7 @@
 	c := &e.Proxy.Counts
 	for name, counter := range map[string]*atomic.Int64{
 		"entry.requests": &c.Requests, "entry.refused": &c.Refused, "entry.failed": &c.Failed, "entry.attempts": &c.Attempts,
-		"entry.blocked": &c.Blocked, "entry.cut": &c.Truncated, "entry.abandoned": &c.Abandoned, "entry.events": &c.Events, "entry.connectionsOpened": &e.Pool.Opened,
+		"entry.blocked": &c.Blocked, "entry.detours": &c.Detours, "entry.assisted": &c.Assisted, "entry.cut": &c.Truncated, "entry.abandoned": &c.Abandoned, "entry.events": &c.Events, "entry.connectionsOpened": &e.Pool.Opened,
 	} {
 		meter.RegisterGauge(r, name, counter.Load)
 	}
@@ -171,12 +180,26 @@
 	}
 	e.group.Go(func() { e.Follower.Run(ctx) })
 	e.group.Go(func() { e.runReports(ctx) })
-	e.group.Go(func() { runner.Every(ctx, sweepInterval, e.Pool.CloseExpired) })
+	e.group.Go(func() {
+		runner.Every(ctx, sweepInterval, func() {
+			e.Pool.CloseExpired()
+			e.PeerPool.CloseExpired()
+		})
+	})
+	e.group.Go(func() { e.watchProcessor(ctx) })
 	e.callerServer = &http.Server{
 		Handler: e.Proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
-	for address, server := range map[string]*http.Server{e.Settings.Callers: e.callerServer, e.Settings.Readiness: e.readinessServer} {
+	servers := map[string]*http.Server{e.Settings.Callers: e.callerServer, e.Settings.Readiness: e.readinessServer}
+	if e.Settings.Peers != "" {
+		e.peerServer = &http.Server{
+			Handler: peers.RequireToken(e.Settings.PeerToken, http.HandlerFunc(e.Proxy.ServeHop)), ReadHeaderTimeout: headerTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		}
+		servers[e.Settings.Peers] = e.peerServer
+	}
+	for address, server := range servers {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
@@ -222,7 +245,11 @@
 	e.log.Info("draining", "inFlight", e.Proxy.InFlight())
 	runner.Pause(ctx, rotationDelay)
 	err := e.callerServer.Shutdown(ctx)
+	if e.peerServer != nil {
+		err = errors.CombineErrors(err, e.peerServer.Shutdown(ctx))
+	}
 	e.Proxy.Wait(ctx)
+	e.Proxy.Close()
 	e.stopped.Store(true)
 	e.sendReport(ctx, nil)
 	e.cancel()
@@ -231,6 +258,29 @@
 	return err
 }
 
+const (
+	// lagInterval is the interval at which the daemon checks how late its timers are.
+	lagInterval = 250 * clock.Millisecond
+	// pauseTime is how late a timer is at least after the process was paused, or its VM suspended.
+	pauseTime = 400 * clock.Millisecond
+)
+
+// watchProcessor observes how late timers are until ctx ends: a little while the processor is used up, and much
+// when the process was paused.
+func (e *Edge) watchProcessor(ctx context.Context) {
+	last := e.clock.Now()
+	runner.Every(ctx, lagInterval, func() {
+		now := e.clock.Now()
+		late := max(now.Sub(last)-lagInterval, 0)
+		last = now
+		e.Proxy.Room.ObserveLag(late)
+		if late > pauseTime {
+			e.Proxy.Resumed()
+			e.log.Info("process was paused", "forMs", int64(late))
+		}
+	})
+}
+
 // receiveEvent applies an event from a core daemon.
 func (e *Edge) receiveEvent(address string, event *peerpb.FeedEvent) {
 	if d := event.GetRules(); d != nil {
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 
 	"swiftbeam/internal/crash"
+	"swiftbeam/internal/detour"
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/proxy"
@@ -53,6 +54,8 @@
 	// limits that it sent.
 	term        uint64
 	limitsKnown uint64
+	// registeredTerm is the term of the leader that has the address of this daemon.
+	registeredTerm uint64
 }
 
 func (e *Edge) runReports(ctx context.Context) {
@@ -201,6 +204,8 @@
 			m.Samples = append(m.Samples, wire.SampleToPB(&s))
 		}
 		m.Limits = wire.LimitsToPB(e.Proxy.UnsentLimits(maxLimits))
+		m.Unreached, m.HelpersWanted = e.Proxy.Unreached()
+		m.Stopping = e.draining.Load()
 		e.Proxy.UpdateCrashes(func(now clock.Instant, watch *crash.Watch) {
 			evidence := watch.Report(now)
 			m.Crashes = wire.EvidenceToPB(&evidence)
@@ -208,6 +213,9 @@
 	}
 	e.reporter.mu.Lock()
 	m.Term, m.LimitsKnown = e.reporter.term, e.reporter.limitsKnown
+	if !m.GetQuotaOnly() && (m.GetTerm() == 0 || m.GetTerm() != e.reporter.registeredTerm) {
+		m.Peer = &peerpb.PeerAddress{Address: e.Settings.Peers, Zone: e.Settings.Zone}
+	}
 	e.reporter.mu.Unlock()
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, counter *usage.Counter) {
 		for _, u := range limiter.TakeReport(now, accounts) {
@@ -268,7 +276,13 @@
 	e.reporter.pause = clock.Duration(m.GetPauseMs())
 	newLeader := e.reporter.term != m.GetTerm()
 	e.reporter.term, e.reporter.limitsKnown = m.GetTerm(), m.GetLimitsKnown()
+	if report.GetPeer() != nil {
+		e.reporter.registeredTerm = m.GetTerm()
+	}
 	e.reporter.mu.Unlock()
+	if report.GetHelpersWanted() {
+		e.learnHelpers(wire.HelpersFromPB(m.GetHelpers()))
+	}
 	e.Proxy.UpdateLimits(func(now clock.Instant, limits *turns.Limiter) {
 		if newLeader {
 			limits.NewLeader()
@@ -295,3 +309,13 @@
 		}
 	})
 }
+
+// learnHelpers takes over the leader's offer of helpers.
+func (e *Edge) learnHelpers(offered []detour.Helper) {
+	var names []string
+	for _, h := range offered {
+		names = append(names, h.Name)
+	}
+	e.log.Info("helpers offered by leader", "helpers", names)
+	e.Proxy.UpdateHelpers(func(h *detour.Helpers) { h.Learn(offered) })
+}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -446,3 +446,11 @@
 
 // Unreachable ejects a server at once because no connection to it could be opened.
 func (s *Server) Unreachable(now clock.Instant) { s.eject(now) }
+
+// Readmit ends the ejection of all servers. Call it when servers could not be reached for a reason that was
+// not theirs and has ended.
+func (s *Service) Readmit() {
+	for _, server := range s.Servers {
+		server.EjectedUntil, server.ejections, server.Probing = 0, 0, false
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,6 +73,9 @@
 	// Dial replaces the DialContext method of a net.Dialer if it is not nil. The connections that it
 	// returns must be of type *net.TCPConn. Tests cut a daemon off from its servers with it.
 	Dial dial.Func
+	// TimedOut is called when the system has ended an idle connection because the server's VM did not respond;
+	// it may be nil.
+	TimedOut func(address string)
 	// Opened counts the connections that were opened.
 	Opened atomic.Int64
 
@@ -89,6 +92,9 @@
 type Conn struct {
 	// Reused reports that the connection has carried a request before.
 	Reused bool
+	// OpenedAt is when the connection was opened, UsedAt when it last carried a response; zero for never.
+	OpenedAt clock.Instant
+	UsedAt   clock.Instant
 
 	pool        *Pool
 	address     string
@@ -119,17 +125,57 @@
 	}
 }
 
+// GetIdle returns an idle connection to address that has carried a response since a time, or nil.
+func (p *Pool) GetIdle(address string, since clock.Instant) *Conn {
+	for {
+		p.mu.Lock()
+		s := p.servers[address]
+		if !s.proven(since) {
+			p.mu.Unlock()
+			return nil
+		}
+		c := s.takeLast()
+		p.mu.Unlock()
+		if c.usable() {
+			return c
+		}
+		c.close()
+	}
+}
+
+// HasIdle reports whether there is an idle connection to address that has carried a response since a time.
+func (p *Pool) HasIdle(address string, since clock.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.servers[address].proven(since)
+}
+
+// proven reports whether the last idle connection has carried a response since a time.
+func (s *connections) proven(since clock.Instant) bool {
+	if s == nil || len(s.idle) == 0 {
+		return false
+	}
+	usedAt := s.idle[len(s.idle)-1].UsedAt
+	return usedAt > 0 && usedAt >= since
+}
+
+// takeLast removes the last idle connection and returns it.
+func (s *connections) takeLast() *Conn {
+	n := len(s.idle)
+	c := s.idle[n-1]
+	s.idle = s.idle[:n-1]
+	c.Reused = true
+	return c
+}
+
 // takeIdle returns an idle connection. If there is none, it reports whether a new one may be opened,
 // and counts that one.
 func (p *Pool) takeIdle(address string, limit int) (*Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.connections(address)
-	if n := len(s.idle); n > 0 {
-		c := s.idle[n-1]
-		s.idle = s.idle[:n-1]
-		c.Reused = true
-		return c, true
+	if len(s.idle) > 0 {
+		return s.takeLast(), true
 	}
 	if limit > 0 && s.total >= limit {
 		return nil, false
@@ -151,19 +197,19 @@
 	return s
 }
 
-// Refuses reports whether the VM at address refuses connections, as no process listens there. A connection
-// that opens is kept for later requests.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
+// Probe opens a connection to address and keeps it for later requests. If that fails, it reports whether the
+// VM refused the connection, as it does if no process listens there.
+func (p *Pool) Probe(ctx context.Context, address string) (refused bool, err error) {
 	p.mu.Lock()
 	p.connections(address).total++
 	p.mu.Unlock()
 	c, err := p.open(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return errors.Is(err, syscall.ECONNREFUSED), err
 	}
 	c.expires = p.Clock.Now().Add(defaultIdleTimeout - idleMargin)
 	c.Release(true)
-	return false
+	return false, nil
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
@@ -185,7 +231,7 @@
 	}
 	p.Opened.Add(1)
 	input := &limitedInput{from: conn}
-	return &Conn{pool: p, address: address, net: conn.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
+	return &Conn{pool: p, OpenedAt: p.Clock.Now(), address: address, net: conn.(*net.TCPConn), input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
 
 // limitedInput reads from a connection, up to a number of bytes while limited is set.
@@ -267,13 +313,17 @@
 	if err != nil {
 		return false
 	}
-	noInput := false
+	noInput, timedOut := false, false
 	var b [1]byte
 	err = raw.Read(func(fd uintptr) bool {
 		_, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		noInput = peekErr == syscall.EAGAIN
+		timedOut = peekErr == syscall.ETIMEDOUT
 		return true
 	})
+	if timedOut && c.pool.TimedOut != nil {
+		c.pool.TimedOut(c.address)
+	}
 	return err == nil && noInput
 }
 
@@ -316,6 +366,7 @@
 			continue
 		}
 		if accepts(response.Header) {
+			c.UsedAt = c.pool.Clock.Now()
 			c.mustClose = c.mustClose || response.Close
 			c.setExpiry(response.Header)
 			return response, nil
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -130,7 +130,7 @@
 
 // observeBreak records that the connection to the server broke, and checks whether the server has ended.
 func (a *attempt) observeBreak(ctx context.Context, server *place.Server) {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || a.helper != nil {
 		return
 	}
 	x, p := a.exchange, a.proxy
@@ -175,7 +175,7 @@
 
 // checkServer finds out whether a server has ended after connections to it broke, and has that reported.
 func (p *Proxy) checkServer(ctx context.Context, service string, server *place.Server) {
-	refuses := p.Pool.Refuses(ctx, server.Address)
+	refuses, _ := p.Pool.Probe(ctx, server.Address)
 	p.mu.Lock()
 	end, ended := p.crashes.Checked(startID(server), refuses)
 	p.mu.Unlock()
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
 	"swiftbeam/internal/crash"
+	"swiftbeam/internal/detour"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
@@ -25,6 +27,8 @@
 	choice     place.Choice
 	assignment *place.Assignment
 	conn       *pool.Conn
+	// helper is the entry daemon that the request goes through; nil if it goes to the server directly.
+	helper *detour.Helper
 	// sentAt is the time at which the request was sent, firstEventAt that of this attempt's first event.
 	sentAt       clock.Instant
 	firstEventAt clock.Instant
@@ -51,18 +55,10 @@
 		if x.attempts > 0 && !x.admit(ctx) {
 			return
 		}
-		choice := x.chooseServer()
-		if choice.Server == nil {
-			x.giveUp(retry.Attempt{Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, ResponseStarted: x.responseStarted, Result: retry.Unsent}, "no server is ready")
+		result, ok := x.attempt(ctx)
+		if !ok {
 			return
 		}
-		remaining := float64(x.deadline.Sub(p.Clock.Now()))
-		if !x.mayHaveRun && !x.responseStarted && choice.Wait > maxExpectedWaitFraction*remaining {
-			x.refuse("the queue is longer than the caller waits", clock.Duration(choice.Wait/2))
-			return
-		}
-		current := &attempt{exchange: x, choice: choice}
-		result := current.run(ctx)
 		if ctx.Err() != nil && x.r.Context().Err() != nil {
 			x.abandon("the caller left")
 			return
@@ -74,6 +70,39 @@
 	}
 }
 
+// attempt makes the next attempt, directly or through another entry daemon. It reports false if it has ended
+// the request instead.
+func (x *exchange) attempt(ctx context.Context) (retry.Result, bool) {
+	p := x.proxy
+	unsent := retry.Attempt{Repeatable: x.route.Repeatable(), MayHaveRun: x.mayHaveRun, ResponseStarted: x.responseStarted, Result: retry.Unsent}
+	switch x.chooseWay() {
+	case detour.Nowhere:
+		x.giveUp(unsent, "no daemon reaches the servers")
+		return 0, false
+	case detour.Around:
+		if x.awaitHelpers(ctx) {
+			if result, ok := x.runAround(ctx); ok {
+				return result, true
+			}
+			x.giveUp(unsent, "the servers are unreachable, and no other daemon takes the request")
+			return 0, false
+		}
+	}
+	x.helper = ""
+	choice := x.chooseServer()
+	if choice.Server == nil {
+		x.giveUp(unsent, "no server is ready")
+		return 0, false
+	}
+	remaining := float64(x.deadline.Sub(p.Clock.Now()))
+	if !x.mayHaveRun && !x.responseStarted && choice.Wait > maxExpectedWaitFraction*remaining {
+		x.refuse("the queue is longer than the caller waits", clock.Duration(choice.Wait/2))
+		return 0, false
+	}
+	a := &attempt{exchange: x, choice: choice}
+	return a.run(ctx), true
+}
+
 // finishAttempt acts on the result of an attempt. It reports false when another attempt is to follow.
 func (x *exchange) finishAttempt(a retry.Attempt) bool {
 	switch action := retry.Decide(a); action {
@@ -109,7 +138,11 @@
 	case retry.Forward:
 		x.sendSavedResponse(a)
 	case retry.Refuse:
-		if wait, ok := x.untilServer(); ok {
+		wait, ok := x.untilServer()
+		if x.hopRetryAfter > 0 {
+			wait, ok = x.hopRetryAfter, true
+		}
+		if ok {
 			x.refuse("the servers take no requests now", clock.Duration(float64(wait)*(1+returnSpread*rand.Float64())))
 			return
 		}
@@ -199,7 +232,9 @@
 	return &place.Query{
 		Now: p.Clock.Now(), Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
 		Avoid: x.tried, Versions: x.allowVersion, Draw: rand.Uint64(),
-		Blocked: func(s *place.Server) bool { return !p.limits.Allows(now, s.ID) },
+		Blocked: func(s *place.Server) bool {
+			return !p.limits.Allows(now, s.ID) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
+		},
 	}
 }
 
@@ -251,18 +286,8 @@
 
 func (a *attempt) roundTrip(ctx context.Context, server *place.Server, maxConnections int) retry.Result {
 	x, p := a.exchange, a.proxy
-	startedAt := p.Clock.Now()
-	conn, err := p.Pool.Get(ctx, server.Address, maxConnections)
+	conn, err := a.connect(ctx, server, maxConnections)
 	if err != nil {
-		if !errors.Is(err, pool.ErrFull) && ctx.Err() == nil {
-			now := p.Clock.Now()
-			p.mu.Lock()
-			server.Unreachable(now)
-			ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
-			p.mu.Unlock()
-			p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
-				"error", err.Error(), "tookMs", int64(now.Sub(startedAt)), "ejectedMs", int64(ejected), "serviceTimeMs", int(serviceTime))
-		}
 		return retry.Unsent
 	}
 	a.conn = conn
@@ -278,16 +303,72 @@
 	}
 	x.attempts++
 	if err != nil {
+		a.observeSilence(server, err)
 		return a.failed(ctx, server, "request not sent whole", err)
 	}
 	response, err := conn.Receive(x.r.Method, func(h http.Header) bool { return p.Dialect.ParseResponse(0, h).ID == x.request.ID })
 	if err != nil {
+		a.observeSilence(server, err)
 		a.observeBreak(ctx, server)
 		return a.failed(ctx, server, "no answer", err)
 	}
+	p.mu.Lock()
+	p.observeAnswer(x.service, conn.OpenedAt)
+	p.mu.Unlock()
 	return a.handleResponse(ctx, server, response)
 }
 
+// errNoIdle reports that there is no open connection to a server that can be used.
+var errNoIdle = errors.New("no idle connection")
+
+// connect returns a connection to the server. Where that fails, it records what the failure shows.
+func (a *attempt) connect(ctx context.Context, server *place.Server, maxConnections int) (*pool.Conn, error) {
+	x, p := a.exchange, a.proxy
+	if x.idleOnly {
+		if conn := p.Pool.GetIdle(server.Address, x.idleSince); conn != nil {
+			return conn, nil
+		}
+		x.tried = x.tried[:len(x.tried)-1]
+		return nil, errNoIdle
+	}
+	startedAt := p.Clock.Now()
+	p.mu.Lock()
+	suspect := p.serviceState(x.service).Path.Suspect(startedAt)
+	p.mu.Unlock()
+	dialCtx := ctx
+	if suspect {
+		var cancel context.CancelFunc
+		dialCtx, cancel = context.WithTimeout(ctx, suspectDialTimeout.Std())
+		defer cancel()
+	}
+	conn, err := p.Pool.Get(dialCtx, server.Address, maxConnections)
+	if err == nil || errors.Is(err, pool.ErrFull) || ctx.Err() != nil {
+		return conn, err
+	}
+	now := p.Clock.Now()
+	x.unreached++
+	p.mu.Lock()
+	server.Unreachable(now)
+	ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
+	p.mu.Unlock()
+	p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
+		"error", err.Error(), "tookMs", int64(now.Sub(startedAt)), "ejectedMs", int64(ejected), "serviceTimeMs", int(serviceTime))
+	p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: startedAt, At: now, Silent: isTimeout(err)})
+	return nil, err
+}
+
+// observeSilence records what the end of a connection without a response shows of the path to the server.
+func (a *attempt) observeSilence(server *place.Server, err error) {
+	x, p := a.exchange, a.proxy
+	now := p.Clock.Now()
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT):
+		p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: a.sentAt, At: now, Silent: true})
+	case a.conn.UsedAt == 0 && errors.Is(err, syscall.ECONNRESET):
+		p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: a.conn.OpenedAt, At: now})
+	}
+}
+
 // failed logs an attempt without a complete response and returns its result: TimedOut after the
 // deadline, otherwise Incomplete.
 func (a *attempt) failed(ctx context.Context, server *place.Server, message string, err error) retry.Result {
@@ -346,6 +427,11 @@
 	p.Dialect.SetHeaders(h, &x.request, AttemptInfo{
 		Server: server.ID, Account: account, Remaining: x.deadline.Sub(p.Clock.Now()), Urgency: a.urgency(), After: x.lastEvent,
 	})
+	return x.head(h)
+}
+
+// head returns the caller's request line with headers.
+func (x *exchange) head(h http.Header) []byte {
 	if x.body != nil || x.r.Method == http.MethodPost || x.r.Method == http.MethodPut {
 		h.Set("Content-Length", strconv.Itoa(len(x.body)))
 	}
@@ -365,6 +451,9 @@
 // those that can meet it.
 func (a *attempt) urgency() int {
 	x := a.exchange
+	if x.hop != nil {
+		return x.hop.Urgency
+	}
 	priority := x.route.Priority
 	if x.account != nil && x.account.Priority != nil {
 		priority = *x.account.Priority
@@ -403,17 +492,19 @@
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
 	if !info.Moved {
 		a.observeLeaving(server, info)
+	}
+	if !info.Moved && a.helper == nil {
 		a.observePause(server, info)
 		a.observeLimit(server, info)
 	}
+	if x.hop != nil {
+		return a.passOn(ctx, server, r, resultOf(r.StatusCode, info))
+	}
 	if info.NotRun || info.Moved {
 		_, err := io.CopyN(io.Discard, r.Body, maxRefusal)
 		a.complete = errors.Is(err, io.EOF)
 		p.Log.Info("server did not run the request", "id", x.request.ID, "server", server.ID, "status", r.StatusCode)
-		if info.Moved {
-			return retry.Moved
-		}
-		return retry.NotRun
+		return resultOf(r.StatusCode, info)
 	}
 	success := r.StatusCode >= 200 && r.StatusCode < 300
 	if success && (!info.Signed || r.Header.Get("Content-Encoding") != "") {
@@ -434,7 +525,17 @@
 	x.releaseSaved()
 	x.saved = &savedResponse{status: r.StatusCode, header: r.Header, body: body}
 	a.recordFirstResponse()
-	if r.StatusCode >= http.StatusInternalServerError {
+	return resultOf(r.StatusCode, info)
+}
+
+// resultOf returns the result of an attempt by the head of its complete response.
+func resultOf(status int, info ResponseInfo) retry.Result {
+	switch {
+	case info.Moved:
+		return retry.Moved
+	case info.NotRun:
+		return retry.NotRun
+	case status >= http.StatusInternalServerError:
 		return retry.Failed
 	}
 	return retry.Complete
@@ -503,10 +604,12 @@
 	a.firstResponseAt = p.Clock.Now()
 	p.mu.Lock()
 	service := p.serviceState(x.service)
-	service.FirstResponse(a.assignment)
+	if a.assignment != nil {
+		service.FirstResponse(a.assignment)
+	}
 	a.observeFirstResponse(service)
 	p.mu.Unlock()
-	if x.firstResponseAt > 0 {
+	if x.firstResponseAt > 0 || x.hop != nil {
 		return
 	}
 	x.firstResponseAt = a.firstResponseAt
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,6 +24,8 @@
 	"github.com/go-logr/logr"
 
 	"swiftbeam/internal/crash"
+	"swiftbeam/internal/detour"
+	"swiftbeam/internal/hops"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
@@ -108,6 +110,9 @@
 	Events    atomic.Int64
 	// Blocked counts the refused requests that would crash servers.
 	Blocked atomic.Int64
+	// Detours counts the attempts through other entry daemons, Assisted the attempts made for them.
+	Detours  atomic.Int64
+	Assisted atomic.Int64
 }
 
 // Proxy is the HTTP handler for callers. Set the exported fields before use.
@@ -133,6 +138,9 @@
 	ReportCrashes func()
 	// Draining makes each response ask the caller to close its connection.
 	Draining atomic.Bool
+	// Peers is how requests go through other entry daemons, Room bounds those that come from them.
+	Peers Peers
+	Room  detour.Room
 
 	// bodies has the memory for responses.
 	bodies     spool.Spool
@@ -149,6 +157,10 @@
 	crashes  crash.Watch
 	// crashesLearned is closed at the next change of crashes; nil while no request waits for it.
 	crashesLearned chan struct{}
+	helpers        detour.Helpers
+	// helpersLearned is closed when the leader offers helpers; nil while no request waits for them.
+	helpersLearned chan struct{}
+	closed         bool
 	limiter        quota.Limiter
 	counter        usage.Counter
 	requests       sync.WaitGroup
@@ -158,6 +170,8 @@
 // ServiceState is the routing state of a service with its retry budget and counters.
 type ServiceState struct {
 	place.Service
+	// Path is what the daemon knows of its path to the servers.
+	Path        detour.Path
 	Budget      retry.Budget
 	Connections int
 	// Rollout is the service's rollout of the highest revision received, or nil.
@@ -376,6 +390,21 @@
 	breaks int
 	// trial is set if the request is the trial of a blocked trait.
 	trial bool
+	// hop describes the attempt if the request came from another entry daemon; nil otherwise.
+	hop *hops.Request
+	// unreached counts the servers that could not be connected to, unreachedHelpers the helpers that could not
+	// connect to servers either.
+	unreached        int
+	unreachedHelpers int
+	// triedHelpers are the names of the helpers that the request was sent to, helper the last one.
+	triedHelpers    []string
+	helper          string
+	askedForHelpers bool
+	// hopRetryAfter is the longest time that a helper named until a server takes requests.
+	hopRetryAfter clock.Duration
+	// idleOnly restricts the next attempt to connections that are open and were used since idleSince.
+	idleOnly  bool
+	idleSince clock.Instant
 
 	tried    []string
 	attempts int
@@ -444,6 +473,7 @@
 		x.reply(http.StatusBadRequest, "rejected", err.Error())
 		return false
 	}
+	x.request.Header.Del(hops.Header)
 	if x.request.Wait <= 0 {
 		x.request.Wait = defaultTimeout
 	}
@@ -616,7 +646,7 @@
 	x.proxy.Log.Info("request",
 		"id", x.request.ID, "route", x.routeName(), "account", x.accountName(), "service", x.service,
 		"outcome", x.outcome, "status", x.status, "detail", x.detail,
-		"size", int(x.quotaUsed), "server", x.server, "version", x.version, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.eventCount,
+		"size", int(x.quotaUsed), "server", x.server, "version", x.version, "helper", x.helper, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.eventCount,
 		"expectedMs", int(x.expectedWait), "firstMs", x.firstResponseMs(), "tookMs", int64(x.proxy.Clock.Now().Sub(x.arrived)),
 		"rulesVersion", x.rulesVersion())
 }
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -74,8 +74,12 @@
 // The time is recorded as a percentage of the expected time, so that a version does not count as slow
 // because its server is loaded or has not cached the prompt.
 func (a *attempt) observeFirstResponse(service *ServiceState) {
-	took := float64(max(a.firstResponseAt.Sub(a.assignment.Started), 1))
-	a.recordEvidence(service, moves.Observation{FirstToken: percent * took / max(a.choice.Wait, 1)})
+	startedAt := a.sentAt
+	if a.assignment != nil {
+		startedAt = a.assignment.Started
+	}
+	took := float64(max(a.firstResponseAt.Sub(startedAt), 1))
+	a.observeEvidence(service, moves.Observation{FirstToken: percent * took / max(a.choice.Wait, 1)})
 }
 
 // observeEnd records the end of an attempt as evidence about the server's version.
@@ -87,7 +91,7 @@
 	if a.firstResponseAt > 0 && events >= minEvents {
 		o.TokenGap = float64(a.proxy.Clock.Now().Sub(a.firstResponseAt)) / float64(events-1)
 	}
-	a.recordEvidence(service, o)
+	a.observeEvidence(service, o)
 }
 
 func (a *attempt) recordEvidence(service *ServiceState, o moves.Observation) {
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -27,8 +27,9 @@
 	Name   string
 	Zone   string
 	Region string
-	// Callers and Readiness are listen addresses of an entry daemon, Control and Peers those of a
-	// core daemon. Metrics is the address of the metrics endpoint; empty disables it.
+	// Callers and Readiness are listen addresses of an entry daemon, Control that of a core daemon. Peers is for
+	// other daemons; an entry daemon without it takes none of their requests. Metrics is the address of the
+	// metrics endpoint; empty disables it.
 	Callers   string
 	Readiness string
 	Control   string
@@ -160,6 +161,9 @@
 	if s.Role == Entry {
 		s.Callers = address(l, "callers")
 		s.Readiness = address(l, "readiness")
+		if _, ok := l.Get("peers"); ok {
+			s.Peers = address(l, "peers")
+		}
 	} else {
 		s.Control = address(l, "control")
 		s.Peers = address(l, "peers")
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"swiftbeam/internal/detour"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/place"
@@ -48,6 +49,20 @@
 	return loads.Server{ID: m.GetId(), Load: place.Load{Requests: int(m.GetRequests()), Prefill: int(m.GetPrefill()), Memory: int(m.GetMemory())}}
 }
 
+// HelperToPB returns the message for a helper.
+func HelperToPB(h *detour.Helper) *peerpb.Helper {
+	return &peerpb.Helper{Name: h.Name, Address: h.Address, Zone: h.Zone, Load: uint32(h.Load)}
+}
+
+// HelpersFromPB returns the helpers in messages.
+func HelpersFromPB(messages []*peerpb.Helper) []detour.Helper {
+	list := make([]detour.Helper, 0, len(messages))
+	for _, m := range messages {
+		list = append(list, detour.Helper{Name: m.GetName(), Address: m.GetAddress(), Zone: m.GetZone(), Load: int(m.GetLoad())})
+	}
+	return list
+}
+
 // LimitsToPB returns the messages for request limits of backend servers.
 func LimitsToPB(list []turns.Limit) []*peerpb.ServerLimit {
 	messages := make([]*peerpb.ServerLimit, 0, len(list))
