--- a/internal/detour/helpers.go
+++ b/internal/detour/helpers.go
@@ -122,11 +122,14 @@
 		return Helper{}, false
 	}
 	n := uint64(len(usable))
-	first, second := usable[draw%n], usable[(draw>>32)%n]
-	if h.cost(now, second) < h.cost(now, first) {
-		first = second
+	first := draw % n
+	best := usable[first]
+	if n > 1 {
+		if other := usable[(first+1+(draw>>32)%(n-1))%n]; h.cost(now, other) < h.cost(now, best) {
+			best = other
+		}
 	}
-	return first.Helper, true
+	return best.Helper, true
 }
 
 func (h *Helpers) cost(now clock.Instant, c *candidate) int {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -104,7 +104,9 @@
 	expires     clock.Instant
 	mustClose   bool
 	bodyWritten chan error
-	closed      bool
+	// early is a final response that came instead of an interim one.
+	early  *http.Response
+	closed bool
 }
 
 // Get returns an idle connection to address, or opens one while there are fewer than limit. A limit
@@ -351,14 +353,40 @@
 	return true, nil
 }
 
+// AwaitInterim waits for an interim response, by which the other side shows that it works on the request. After
+// timeout it returns an error. A final response that comes instead is kept for Receive.
+func (c *Conn) AwaitInterim(method string, timeout clock.Duration) error {
+	_ = c.net.SetReadDeadline(time.Now().Add(timeout.Std()))
+	response, err := c.readResponse(&http.Request{Method: method})
+	_ = c.net.SetReadDeadline(time.Time{})
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusOK {
+		c.early = response
+		return nil
+	}
+	return response.Body.Close()
+}
+
+// readResponse reads the head of the next response.
+func (c *Conn) readResponse(request *http.Request) (*http.Response, error) {
+	if response := c.early; response != nil {
+		c.early = nil
+		return response, nil
+	}
+	c.input.limited, c.input.remaining = true, maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.input.limited = false
+	return response, err
+}
+
 // Receive reads the head of the response for which accepts returns true. It skips a few responses to
 // other requests; after one of those the connection is not reused.
 func (c *Conn) Receive(method string, accepts func(http.Header) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxSkippedResponses + 1 {
-		c.input.limited, c.input.remaining = true, maxHeadBytes
-		response, err := http.ReadResponse(c.reader, request)
-		c.input.limited = false
+		response, err := c.readResponse(request)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -40,6 +40,9 @@
 	suspectDialTimeout = 300 * clock.Millisecond
 	// helpersTimeout is how long a request waits for the leader's offer of helpers.
 	helpersTimeout = 300 * clock.Millisecond
+	// helperResponseTimeout is how long a helper may take to show that it works on a request, before the request is
+	// sent to another one if it may run twice.
+	helperResponseTimeout = clock.Second
 	// maxHelperConnections bounds the connections to one helper.
 	maxHelperConnections = 128
 	// maxAvoided bounds the servers that a request excludes at a helper.
@@ -278,7 +281,10 @@
 		return retry.Unsent, false
 	}
 	p.mu.Lock()
-	helper, ok := p.helpers.Choose(p.Clock.Now(), rand.Uint64(), x.triedHelpers)
+	helper, ok := p.helpers.Choose(p.Clock.Now(), rand.Uint64(), slices.Concat(x.triedHelpers, x.brokenHelpers))
+	if !ok {
+		helper, ok = p.helpers.Choose(p.Clock.Now(), rand.Uint64(), x.triedHelpers)
+	}
 	if ok {
 		p.helpers.Sent(p.Clock.Now(), helper.Name)
 	}
@@ -286,7 +292,6 @@
 	if !ok || len(x.triedHelpers) >= maxHelpersTried {
 		return retry.Unsent, false
 	}
-	x.triedHelpers = append(x.triedHelpers, helper.Name)
 	x.helper = helper.Name
 	a := &attempt{exchange: x, helper: &helper}
 	eventsBefore := x.eventCount
@@ -297,6 +302,12 @@
 	now := p.Clock.Now()
 	service := p.serviceState(x.service)
 	p.helpers.Done(now, helper.Name, outcome)
+	switch {
+	case outcome != detour.Answered && outcome != detour.Broken:
+		x.triedHelpers = append(x.triedHelpers, helper.Name)
+	case result == retry.Incomplete:
+		x.brokenHelpers = append(x.brokenHelpers, helper.Name)
+	}
 	switch outcome {
 	case detour.Unreached:
 		x.unreachedHelpers++
@@ -339,7 +350,12 @@
 	if err != nil {
 		return a.failedAround(ctx, "request not sent whole", err), detour.Failed
 	}
-	response, err := conn.Receive(x.r.Method, func(h http.Header) bool { return h.Get(hops.Header) != "" })
+	if x.route.Repeatable() {
+		if err := conn.AwaitInterim(x.r.Method, helperResponseTimeout); err != nil {
+			return a.failedAround(ctx, "the helper does not respond", err), detour.Failed
+		}
+	}
+	response, err := conn.Receive(x.r.Method, func(http.Header) bool { return true })
 	if err != nil {
 		return a.failedAround(ctx, "no answer of the helper", err), detour.Failed
 	}
--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -56,6 +56,7 @@
 
 func (x *exchange) serveHop() {
 	p := x.proxy
+	x.w.WriteHeader(http.StatusProcessing)
 	x.w.Header()["Date"] = nil
 	length := max(x.r.ContentLength, 0)
 	if p.Draining.Load() || length > defaultMaxBody || !p.Room.Take(x.hop.Urgency, length) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -396,8 +396,10 @@
 	// connect to servers either.
 	unreached        int
 	unreachedHelpers int
-	// triedHelpers are the names of the helpers that the request was sent to, helper the last one.
+	// triedHelpers are the names of the helpers that did not take the request or were lost. brokenHelpers are those
+	// whose answer broke off, for which the helper or the server may be the cause. helper is the last one asked.
 	triedHelpers    []string
+	brokenHelpers   []string
 	helper          string
 	askedForHelpers bool
 	// hopRetryAfter is the longest time that a helper named until a server takes requests.
