Frail: the room of brittle servers is shared by all entry daemons

Package frail decides, without a network, whether a request may go to a brittle server. Up to as many daemons as slots, each has its own slots by its rank, and more only while half of the server is free; beyond, a daemon takes a part of the free room, as likely as that is to suffice if all daemons want the server as often as it does. Rejections shrink the room for some seconds, at the other daemons too; servers that were down are filled over 4 s; the least urgent requests see less room and are refused first, at once. That a server is brittle and turned a request away goes through the leader with its limit (package turns).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,7 +35,6 @@
 	"swiftbeam/internal/runner"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/state"
-	"swiftbeam/internal/turns"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -399,7 +398,7 @@
 			// The end of a server that was going to leave proves nothing about its requests.
 			s.Leaving = s.Leaving || r != nil && r.State >= enrol.Leaving
 		})
-		e.Proxy.UpdateLimits(func(_ clock.Instant, limits *turns.Limiter) { limits.Forget(id) })
+		e.Proxy.ForgetServer(id)
 		e.Pool.CloseIdle(s.Address)
 	}
 	for id, r := range usable {
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -289,9 +289,9 @@
 		} else {
 			limits.Sent(wire.LimitsFromPB(report.GetLimits()))
 		}
-		limits.Learn(wire.LimitsFromPB(m.GetLimits()))
 		limits.Join(now, turns.Member{Rank: int(m.GetRank()), Count: entries})
 	})
+	e.Proxy.LearnLimits(wire.LimitsFromPB(m.GetLimits()))
 	r := e.Settings.Retries
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
 		limiter.Entries = entries
--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -124,11 +124,7 @@
 	p := x.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	choice := p.serviceState(x.service).Choose(x.query())
-	if choice.Server != nil {
-		p.limits.Take(p.ClusterTime(), choice.Server.ID)
-	}
-	return choice
+	return x.chooseOf(p.serviceState(x.service))
 }
 
 // endHop responds to the other daemon without the response of a server.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -13,6 +14,7 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
+	"swiftbeam/internal/frail"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
@@ -142,6 +144,9 @@
 		if x.hopRetryAfter > 0 {
 			wait, ok = x.hopRetryAfter, true
 		}
+		if x.noRoom && !ok {
+			wait, ok = noRoomRetryAfter, true
+		}
 		if ok {
 			x.refuse("the servers take no requests now", clock.Duration(float64(wait)*(1+returnSpread*rand.Float64())))
 			return
@@ -216,16 +221,51 @@
 	defer p.mu.Unlock()
 	service := p.serviceState(x.service)
 	x.pickVersion(service)
-	choice := service.Choose(x.query())
+	choice := x.chooseOf(service)
 	if choice.Server == nil && x.allowFallback(service.Rollout) {
-		choice = service.Choose(x.query())
-	}
-	if choice.Server != nil {
-		p.limits.Take(p.ClusterTime(), choice.Server.ID)
+		choice = x.chooseOf(service)
 	}
 	return choice
 }
 
+// maxBrittleTried is the number of brittle servers without room for a request after which it is refused.
+const maxBrittleTried = 4
+
+// chooseOf chooses a server of a service that takes the request now. The caller holds the lock.
+func (x *exchange) chooseOf(service *ServiceState) place.Choice {
+	p := x.proxy
+	x.noRoom = false
+	q := x.query()
+	for range maxBrittleTried {
+		choice := service.Choose(q)
+		if choice.Server == nil {
+			return choice
+		}
+		if !p.limits.IsBrittle(choice.Server.ID) || p.gate.Allows(x.brittleQuery(service, choice.Server)) {
+			p.limits.Take(p.ClusterTime(), choice.Server.ID)
+			return choice
+		}
+		x.noRoom = true
+		q.Avoid = append(slices.Clip(q.Avoid), choice.Server.ID)
+	}
+	return place.Choice{}
+}
+
+// brittleQuery describes the request at a brittle server.
+func (x *exchange) brittleQuery(service *ServiceState, s *place.Server) frail.Query {
+	p := x.proxy
+	now := p.Clock.Now()
+	q := frail.Query{
+		Now: now, Server: s.ID, Service: service.Name, Servers: len(service.Servers), Slots: s.Slots, Own: s.Local.Requests, Load: s.Local.Requests + s.Remote.Requests,
+		Daemons: p.limiter.Entries, Rank: p.limits.Rank(), Requests: service.Budget.PerSecond(now), Hold: clock.Duration(service.Costs.ServiceTime),
+		Urgency: x.baseUrgency(), Draw: rand.Float64(),
+	}
+	if s.Born > 0 {
+		q.Since = now.Add(s.Born.Sub(p.ClusterTime()))
+	}
+	return q
+}
+
 func (x *exchange) query() *place.Query {
 	p := x.proxy
 	now := p.ClusterTime()
@@ -349,6 +389,9 @@
 	x.unreached++
 	p.mu.Lock()
 	server.Unreachable(now)
+	if p.limits.IsBrittle(server.ID) {
+		p.gate.Down(now, server.ID)
+	}
 	ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
 	p.mu.Unlock()
 	p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
@@ -446,11 +489,9 @@
 // typicalHeadBytes is the usual size of a request's head in bytes.
 const typicalHeadBytes = 768
 
-// urgency returns the request's urgency from 0 to 9. The account's priority, where set, overrides that of
-// the route. Within a priority, a request that will miss the target of its route in any case comes after
-// those that can meet it.
-func (a *attempt) urgency() int {
-	x := a.exchange
+// baseUrgency returns the urgency of the request by its priority. The account's priority, where set, overrides that
+// of the route.
+func (x *exchange) baseUrgency() int {
 	if x.hop != nil {
 		return x.hop.Urgency
 	}
@@ -458,7 +499,17 @@
 	if x.account != nil && x.account.Priority != nil {
 		priority = *x.account.Priority
 	}
-	urgency := 2 * max(priority, 0)
+	return 2 * max(priority, 0)
+}
+
+// urgency returns the request's urgency from 0 to 9. Within a priority, a request that will miss the target of its route in any case comes after
+// those that can meet it.
+func (a *attempt) urgency() int {
+	x := a.exchange
+	urgency := x.baseUrgency()
+	if x.hop != nil {
+		return urgency
+	}
 	expected := a.proxy.Clock.Now().Add(clock.Duration(a.choice.Wait))
 	if x.route.Target > 0 && expected.Sub(x.arrived) > x.route.Target {
 		urgency++
@@ -583,18 +634,25 @@
 	p.Log.Info("backend server wants no requests", "id", a.request.ID, "server", server.ID, "forMs", int64(info.RetryAfter))
 }
 
-// observeLimit records the request limit that a server names in its answers. An answer without a limit
-// ends it, unless the server may not have written it.
+// observeLimit records the request limit that a server names in its answers, and whether it is brittle. An answer
+// without them ends both, unless the server may not have written it.
 func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
-	if !info.Limited && !info.Signed {
+	if !info.Limited && !info.Brittle && !info.Signed {
 		return
 	}
 	p := a.proxy
 	p.mu.Lock()
-	changed := p.limits.Observe(turns.Limit{Server: server.ID, Limited: info.Limited, PerSecond: info.Limit, ObservedAt: p.ClusterTime()})
+	changed := p.limits.Observe(turns.Limit{
+		Server: server.ID, Limited: info.Limited, PerSecond: info.Limit, Brittle: info.Brittle, Tolerated: info.Tolerated, ObservedAt: p.ClusterTime(),
+	})
+	if info.Brittle && info.NotRun {
+		p.gate.Rejected(p.Clock.Now(), server.ID)
+		p.limits.Rejected(p.ClusterTime(), server.ID)
+	}
 	p.mu.Unlock()
 	if changed {
-		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit)
+		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit,
+			"brittle", info.Brittle, "tolerated", info.Tolerated)
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
+	"swiftbeam/internal/frail"
 	"swiftbeam/internal/hops"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/place"
@@ -88,6 +89,9 @@
 	// Limited reports that the server limits its requests, to Limit a second from all daemons together.
 	Limited bool
 	Limit   float64
+	// Brittle reports that the server falls over when it has to turn away more than Tolerated requests a second.
+	Brittle   bool
+	Tolerated float64
 }
 
 // Dialect translates between the types of this package and the headers on the wire.
@@ -154,6 +158,7 @@
 	monitor  moves.Monitor
 	services map[string]*ServiceState
 	limits   turns.Limiter
+	gate     frail.Gate
 	crashes  crash.Watch
 	// crashesLearned is closed at the next change of crashes; nil while no request waits for it.
 	crashesLearned chan struct{}
@@ -202,6 +207,8 @@
 	// noServerRetryAfter is the time within which a crashed server is usually replaced or reachable
 	// again.
 	noServerRetryAfter = 500 * clock.Millisecond
+	// noRoomRetryAfter is the time in which requests that brittle servers have now end.
+	noRoomRetryAfter = clock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal, as callers give up after a longer wait.
 	maxRetryAfter  = 3 * clock.Second
 	defaultTimeout = clock.Minute
@@ -287,6 +294,23 @@
 	change(p.ClusterTime(), &p.limits)
 }
 
+// LearnLimits records request limits of servers that other daemons observed.
+func (p *Proxy) LearnLimits(list []turns.Limit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range p.limits.Learn(list) {
+		p.gate.RejectedElsewhere(p.Clock.Now(), server)
+	}
+}
+
+// ForgetServer removes what is known of the limits of a server that receives no more requests.
+func (p *Proxy) ForgetServer(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Forget(id)
+	p.gate.Forget(id)
+}
+
 // UnsentLimits returns up to n request limits of servers that the leader does not have yet.
 func (p *Proxy) UnsentLimits(n int) []turns.Limit {
 	p.mu.Lock()
@@ -402,6 +426,8 @@
 	brokenHelpers   []string
 	helper          string
 	askedForHelpers bool
+	// noRoom is set if brittle servers had no room for the last attempt.
+	noRoom bool
 	// hopRetryAfter is the longest time that a helper named until a server takes requests.
 	hopRetryAfter clock.Duration
 	// idleOnly restricts the next attempt to connections that are open and were used since idleSince.
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -87,6 +87,9 @@
 	if result == retry.Unsent || result == retry.NotRun || result == retry.Moved || a.r.Context().Err() != nil {
 		return
 	}
+	if result == retry.Incomplete && a.proxy.limits.IsBrittle(a.choice.Server.ID) {
+		return
+	}
 	o := moves.Observation{Failed: failed, Counted: a.firstResponseAt > 0}
 	if a.firstResponseAt > 0 && events >= minEvents {
 		o.TokenGap = float64(a.proxy.Clock.Now().Sub(a.firstResponseAt)) / float64(events-1)
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -132,6 +132,14 @@
 	b.requests.Add(now, 1)
 }
 
+// PerSecond returns the number of requests a second in the window.
+func (b *Budget) PerSecond(now clock.Instant) float64 {
+	if b.Window == 0 {
+		return 0
+	}
+	return b.requests.Sum(now) / b.Window.Std().Seconds()
+}
+
 // Take reports whether a further attempt is allowed, and counts it if so.
 func (b *Budget) Take(now clock.Instant) bool {
 	b.attempts.Span = b.Window
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -24,19 +24,31 @@
 	"swiftbeam/pkg/clock"
 )
 
-// Limit is what a backend server last said of its limit.
+// Limit is what a backend server last said of the requests that it takes.
 type Limit struct {
 	Server string
 	// Limited reports whether there is a limit; PerSecond is the number of requests a second from all
 	// daemons together.
 	Limited   bool
 	PerSecond float64
-	// ObservedAt is the time of the answer that contained the limit, by the clock that the daemons agree on.
+	// Brittle reports whether the server falls over when it has to turn away more than Tolerated requests a
+	// second. RejectedAt is when it last turned one away for want of room.
+	Brittle    bool
+	Tolerated  float64
+	RejectedAt clock.Instant
+	// ObservedAt is the time of the answer that contained this, by the clock that the daemons agree on.
 	ObservedAt clock.Instant
 }
 
-// same reports whether o contains the same limit, observed at any time.
-func (l *Limit) same(o *Limit) bool { return l.Limited == o.Limited && l.PerSecond == o.PerSecond }
+// same reports whether o contains the same, observed at any time.
+func (l *Limit) same(o *Limit) bool {
+	return l.sameLimit(o) && l.Brittle == o.Brittle && l.Tolerated == o.Tolerated && l.RejectedAt == o.RejectedAt
+}
+
+func (l *Limit) sameLimit(o *Limit) bool { return l.Limited == o.Limited && l.PerSecond == o.PerSecond }
+
+// empty reports whether the server takes all requests.
+func (l *Limit) empty() bool { return !l.Limited && !l.Brittle }
 
 // Member is the position of a daemon among all entry daemons. Without a count, it has no turns.
 type Member struct {
@@ -70,6 +82,8 @@
 	minPerSecond = 0.1
 	// refreshInterval is the interval at which an unchanged limit is passed on.
 	refreshInterval = 5 * clock.Second
+	// rejectionInterval is the least time between two rejections that are passed on.
+	rejectionInterval = 300 * clock.Millisecond
 	// liftedRetention is the time for which the end of a limit is remembered, longer than an earlier
 	// observation of the limit can take to arrive.
 	liftedRetention = 30 * clock.Second
@@ -87,6 +101,9 @@
 	}
 }
 
+// Rank returns the daemon's position among all entry daemons.
+func (m *Limiter) Rank() int { return m.member.Rank }
+
 // Observe records what a server said in an answer to this daemon. It reports whether the limit changed.
 func (m *Limiter) Observe(l Limit) bool {
 	changed := m.merge(l)
@@ -96,17 +113,43 @@
 	return changed
 }
 
-// Learn records limits that other daemons observed.
-func (m *Limiter) Learn(list []Limit) {
+// Learn records limits that other daemons observed. It returns the servers that turned requests away meanwhile.
+func (m *Limiter) Learn(list []Limit) (rejecting []string) {
 	for _, l := range list {
+		before := clock.Instant(0)
+		if s := m.byServer[l.Server]; s != nil {
+			before = s.RejectedAt
+		}
 		m.merge(l)
+		if l.Brittle && l.RejectedAt > before {
+			rejecting = append(rejecting, l.Server)
+		}
+	}
+	return rejecting
+}
+
+// Rejected records that a brittle server turned a request of this daemon away for want of room. Other daemons learn
+// of it, once in rejectionInterval.
+func (m *Limiter) Rejected(now clock.Instant, server string) {
+	s := m.byServer[server]
+	if s == nil || !s.Brittle || now.Sub(s.RejectedAt) < rejectionInterval {
+		return
 	}
+	// The rejection said that the server is brittle, so this is also an observation.
+	s.RejectedAt, s.ObservedAt = now, now
+	s.unsent = true
+}
+
+// IsBrittle reports whether a server has said that it is brittle.
+func (m *Limiter) IsBrittle(server string) bool {
+	s := m.byServer[server]
+	return s != nil && s.Brittle
 }
 
 func (m *Limiter) merge(l Limit) (changed bool) {
 	s := m.byServer[l.Server]
 	switch {
-	case s == nil && !l.Limited:
+	case s == nil && l.empty():
 		return false
 	case s == nil:
 		if m.byServer == nil {
@@ -117,9 +160,11 @@
 	case !l.ObservedAt.After(s.ObservedAt):
 		return false
 	}
-	changed = !s.same(&l)
+	l.RejectedAt = max(l.RejectedAt, s.RejectedAt)
+	limitChanged := !s.sameLimit(&l)
+	changed = limitChanged || s.Brittle != l.Brittle || s.Tolerated != l.Tolerated
 	s.Limit = l
-	if changed {
+	if limitChanged {
 		s.startAt(l.ObservedAt)
 	}
 	return changed
@@ -206,7 +251,7 @@
 		switch {
 		case s.unsent && len(list) < n:
 			list = append(list, s.Limit)
-		case !s.unsent && !s.Limited && now.Sub(s.ObservedAt) > liftedRetention:
+		case !s.unsent && s.empty() && now.Sub(s.ObservedAt) > liftedRetention:
 			delete(m.byServer, server)
 		}
 	}
@@ -256,6 +301,7 @@
 		} else if !l.ObservedAt.After(s.ObservedAt) {
 			continue
 		}
+		l.RejectedAt = max(l.RejectedAt, s.RejectedAt)
 		changed := s.number == 0 || !s.same(&l) || l.ObservedAt.Sub(s.passedOn) >= refreshInterval
 		s.Limit = l
 		if changed {
--- a/internal/turns/turns_test.go
+++ b/internal/turns/turns_test.go
@@ -227,3 +227,44 @@
 		t.Errorf("wait: got %v, want some time", got)
 	}
 }
+
+// TestBrittleServersAreKnownToAllDaemons checks that all daemons learn from one that a server is brittle and that it
+// turned a request away, and that an answer without the header ends it for all.
+func TestBrittleServersAreKnownToAllDaemons(t *testing.T) {
+	f := newFleet(5)
+	now := clock.Instant(10_000)
+	exchange := func() {
+		for end := now.Add(2 * reportInterval); now < end; now += 10 {
+			f.report(now, 5)
+		}
+	}
+	brittle := func() (n int) {
+		for _, d := range f.daemons {
+			if d.IsBrittle(testServer) {
+				n++
+			}
+		}
+		return n
+	}
+	f.daemons[0].Observe(Limit{Server: testServer, Brittle: true, Tolerated: 4, ObservedAt: now})
+	exchange()
+	if got, want := brittle(), 5; got != want {
+		t.Errorf("daemons that know that the server is brittle: got %d, want %d", got, want)
+	}
+	if !f.daemons[1].Allows(now, testServer) {
+		t.Error("a brittle server without a request limit: got a limit, want none")
+	}
+	f.daemons[0].Rejected(now, testServer)
+	rejectedAt := now
+	exchange()
+	for i, d := range f.daemons {
+		if got := d.byServer[testServer].RejectedAt; got != rejectedAt {
+			t.Errorf("rejection at daemon %d: got %v, want %v", i, got, rejectedAt)
+		}
+	}
+	f.daemons[3].Observe(Limit{Server: testServer, ObservedAt: now})
+	exchange()
+	if got, want := brittle(), 0; got != want {
+		t.Errorf("daemons that take the server for brittle after an answer without the header: got %d, want %d", got, want)
+	}
+}
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -67,7 +67,10 @@
 func LimitsToPB(list []turns.Limit) []*peerpb.ServerLimit {
 	messages := make([]*peerpb.ServerLimit, 0, len(list))
 	for _, l := range list {
-		messages = append(messages, &peerpb.ServerLimit{Id: l.Server, Limited: l.Limited, PerSecond: l.PerSecond, ObservedAt: int64(l.ObservedAt)})
+		messages = append(messages, &peerpb.ServerLimit{
+			Id: l.Server, Limited: l.Limited, PerSecond: l.PerSecond, ObservedAt: int64(l.ObservedAt),
+			Brittle: l.Brittle, Tolerated: l.Tolerated, RejectedAt: int64(l.RejectedAt),
+		})
 	}
 	return messages
 }
@@ -76,7 +79,10 @@
 func LimitsFromPB(messages []*peerpb.ServerLimit) []turns.Limit {
 	list := make([]turns.Limit, 0, len(messages))
 	for _, m := range messages {
-		list = append(list, turns.Limit{Server: m.GetId(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), ObservedAt: clock.Instant(m.GetObservedAt())})
+		list = append(list, turns.Limit{
+			Server: m.GetId(), Limited: m.GetLimited(), PerSecond: m.GetPerSecond(), ObservedAt: clock.Instant(m.GetObservedAt()),
+			Brittle: m.GetBrittle(), Tolerated: m.GetTolerated(), RejectedAt: clock.Instant(m.GetRejectedAt()),
+		})
 	}
 	return list
 }
