Pool: a server may be silent for two seconds before its connections end

The users' pages say that a sound server may fall silent for a second or so and go on. TCP_USER_TIMEOUT of 1.5 s ended connections at such a server, the requests on them were lost or sent again. It also decides when keep-alive probes give up, whatever their number.

2 s still ends all silent connections within the 3 s after which a daemon must have found another way. No test: a silent VM cannot be played on loopback without rights over its network.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -36,10 +36,10 @@
 	// round trips of at most 30 ms each.
 	DialTimeout = 800 * clock.Millisecond
 	// ackTimeout (TCP_USER_TIMEOUT) ends a connection whose bytes are not acknowledged, as in a
-	// network partition that drops packets.
-	ackTimeout = 1500 * clock.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveProbes detect a dead connection within 2 s
-	// while it waits for a response and sends nothing.
+	// network partition that drops packets. A server may be silent for a good second and go on.
+	ackTimeout = 2 * clock.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveProbes check a connection that waits for a response and
+	// sends nothing. It ends when no probe was answered for ackTimeout, which overrides the number of probes.
 	keepAliveIdle     = clock.Second
 	keepAliveInterval = 500 * clock.Millisecond
 	keepAliveProbes   = 2
