--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"swiftbeam/internal/buyer"
 	"swiftbeam/internal/canary"
 	"swiftbeam/internal/cloud"
+	"swiftbeam/internal/dial"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/entry"
 	"swiftbeam/internal/group"
@@ -54,7 +55,9 @@
 	Log   logr.Logger
 	Clock clock.Clock
 	// Dial overrides how connections to other daemons are opened.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial dial.Func
+	// DialBackends overrides how connections to backend servers are opened.
+	DialBackends dial.Func
 	// Listen overrides net.Listen.
 	Listen func(network, address string) (net.Listener, error)
 	// ReplaceAfter overrides the constant ReplaceAfter, the time without a reply after which a voter
@@ -160,12 +163,12 @@
 	}
 	d.Guard = &guard.Guard{Self: self.Holder(), Clock: c, Store: d.Store, Net: d.Net, Log: log.WithName("guard")}
 	d.Relay = &relay.Relay{
-		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: engine.NewHTTPClient()},
+		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: engine.NewHTTPClient(d.options.DialBackends)},
 		Versions: d.Canary, Guard: d.Guard, Log: log.WithName("relay"), Route: d.routeByName,
 	}
 	d.Roster.RemovalObserver = d.Relay
 	d.Once = &once.Executor{
-		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: engine.NewHTTPClient(), Observe: d.Canary.Observe,
+		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: engine.NewHTTPClient(d.options.DialBackends), Observe: d.Canary.Observe,
 		Guard: d.Guard, OnTrial: d.Canary.OnTrial,
 	}
 	d.Manage = &manage.Server{
@@ -188,7 +191,7 @@
 	d.Runner.Add("relay", d.Relay)
 	d.Runner.Add("entry", d.Entry)
 	if address := d.Settings.CloudAddress; address != "" {
-		client := &cloud.Client{Address: address, HTTP: engine.NewHTTPClient()}
+		client := &cloud.Client{Address: address, HTTP: engine.NewHTTPClient(nil)}
 		d.Runner.Add("cloud", &cloud.NoticeWatcher{Client: client, Clock: d.options.Clock, Roster: d.Roster})
 		d.Runner.Add("buyer", &buyer.Buyer{
 			Self: d.Roster.Self.Holder(), Clock: d.options.Clock, Store: d.Store, Roster: d.Roster, Cloud: client,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,6 +24,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"swiftbeam/internal/dial"
 	"swiftbeam/internal/fault"
 	"swiftbeam/pkg/clock"
 )
@@ -33,11 +34,15 @@
 	HTTP *http.Client
 }
 
-// NewHTTPClient returns an HTTP client for backend servers. It returns redirects instead of following them, and
-// has no timeout: the context of each call limits it.
-func NewHTTPClient() *http.Client {
+// NewHTTPClient returns an HTTP client for backend servers, which opens connections with open, or with a
+// net.Dialer if that is nil. It returns redirects instead of following them, and has no timeout: the context of
+// each call limits it.
+func NewHTTPClient(open dial.Func) *http.Client {
+	if open == nil {
+		open = (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext,
+		DialContext:         open,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     30 * time.Second,
 		// A server may send headers without end.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -50,6 +50,8 @@
 	Log    logr.Logger
 	// Partition isolates daemons from one another; nil means that all are always connected.
 	Partition *Partition
+	// BackendPartition isolates daemons from all backend servers; nil means that they are always connected.
+	BackendPartition *Partition
 	// ReplaceAfter is the time without a reply after which a voter is replaced; zero means the default of
 	// package daemon.
 	ReplaceAfter clock.Duration
@@ -159,6 +161,9 @@
 	if d.Options.Partition != nil {
 		o.Dial = d.Options.Partition.Dial(d.settings[i].Listen.Peers)
 	}
+	if d.Options.BackendPartition != nil {
+		o.DialBackends = d.Options.BackendPartition.Dial(d.settings[i].Listen.Peers)
+	}
 	instance, err := daemon.New(d.settings[i], o)
 	if err != nil {
 		return err
