Tunnel: a daemon of the own interface that cannot reach the servers opens connections through another one

Chats that were accepted failed after eight attempts, calls after three.

Package tunnel opens the connections of the engine's and the plain services' HTTP clients, directly, or by a CONNECT to another live daemon once package detour considers the path cut. An error of opening still proves that nothing was sent, so what runs at most once, resumes and blocked traits are decided as before. Idle connections are closed when a path is cut.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,7 @@
 	"swiftbeam/internal/runner"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/store"
+	"swiftbeam/internal/tunnel"
 	"swiftbeam/pkg/clock"
 )
 
@@ -85,6 +86,10 @@
 	joiner   *group.Joiner
 	draining atomic.Bool
 	servers  []*http.Server
+
+	tunnels        *tunnel.Dialer
+	tunnelHandler  *tunnel.Handler
+	backendClients []*http.Client
 }
 
 // New assembles a daemon. It opens the data folder and checks its files; Start opens the listeners.
@@ -156,6 +161,7 @@
 	self := member.Daemon{
 		ID: string(d.Store.Self.ID), Boot: runner.RandomName(), Name: s.Name, Address: s.Listen.Peers, Zone: s.Zone, Region: s.Region,
 	}
+	d.buildTunnels()
 	d.Roster = &roster.Roster{Self: self, Clock: c, Net: d.Net, Directory: d, Log: log.WithName("roster"), Lease: s.Lease}
 	d.Canary = &canary.Controller{
 		Self: self.ID, Clock: c, Store: d.Store, Net: d.Net, Roster: d.Roster, Log: log.WithName("pilot"),
@@ -163,12 +169,12 @@
 	}
 	d.Guard = &guard.Guard{Self: self.Holder(), Clock: c, Store: d.Store, Net: d.Net, Log: log.WithName("guard")}
 	d.Relay = &relay.Relay{
-		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: engine.NewHTTPClient(d.options.DialBackends)},
+		Self: self, Clock: c, Net: d.Net, Roster: d.Roster, Engine: &engine.Client{HTTP: d.backendClient()},
 		Versions: d.Canary, Guard: d.Guard, Log: log.WithName("relay"), Route: d.routeByName,
 	}
 	d.Roster.RemovalObserver = d.Relay
 	d.Once = &once.Executor{
-		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: engine.NewHTTPClient(d.options.DialBackends), Observe: d.Canary.Observe,
+		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: d.backendClient(), Observe: d.Canary.Observe,
 		Guard: d.Guard, OnTrial: d.Canary.OnTrial,
 	}
 	d.Manage = &manage.Server{
@@ -181,6 +187,65 @@
 	d.Roster.Loads = d.Entry.Loads
 }
 
+// backendClient returns an HTTP client for backend servers that reaches them through other daemons if this one
+// cannot.
+func (d *Daemon) backendClient() *http.Client {
+	client := engine.NewHTTPClient(d.tunnels.DialContext)
+	d.backendClients = append(d.backendClients, client)
+	return client
+}
+
+// buildTunnels creates what opens connections to backend servers, for this daemon and for others.
+func (d *Daemon) buildTunnels() {
+	s, log := d.Settings, d.options.Log.WithName("tunnel")
+	direct := d.options.DialBackends
+	if direct == nil {
+		direct = (&net.Dialer{}).DialContext
+	}
+	peer := d.options.Dial
+	if peer == nil {
+		peer = (&net.Dialer{}).DialContext
+	}
+	if config := d.clientTLS(); config != nil {
+		open := peer
+		peer = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := open(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			secured := config.Clone()
+			secured.ServerName, _, _ = net.SplitHostPort(address)
+			return tls.Client(conn, secured), nil
+		}
+	}
+	d.tunnels = &tunnel.Dialer{
+		Clock: d.options.Clock, Log: log, Direct: direct, Peer: peer, Token: s.PeerToken, Peers: d.tunnelPeers,
+		Service: func(address string) (string, int) { return d.Roster.ServiceOf(address) },
+		// Idle connections to servers that have become unreachable would hang.
+		CutOff: func() {
+			for _, client := range d.backendClients {
+				client.CloseIdleConnections()
+			}
+		},
+	}
+	d.tunnelHandler = &tunnel.Handler{
+		Log: log, Direct: direct, Stopping: d.draining.Load,
+		Known: func(address string) bool {
+			service, _ := d.Roster.ServiceOf(address)
+			return service != ""
+		},
+	}
+}
+
+// tunnelPeers returns the other live daemons.
+func (d *Daemon) tunnelPeers() []tunnel.Peer {
+	var list []tunnel.Peer
+	for _, m := range d.Roster.Live() {
+		list = append(list, tunnel.Peer{Name: m.Name, Address: m.Address, Zone: m.Zone})
+	}
+	return list
+}
+
 func (d *Daemon) registerServices() {
 	d.Runner.Add("net", d.Net)
 	d.Runner.Add("store", d.Store)
@@ -237,7 +302,14 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(server.Handler())
-	return mux
+	tunnels := peers.RequireToken(d.Settings.PeerToken, d.tunnelHandler)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			tunnels.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (d *Daemon) listen() ([]net.Listener, error) {
@@ -302,6 +374,7 @@
 }
 
 func (d *Daemon) closeServers() {
+	d.tunnelHandler.Close()
 	for _, s := range d.servers {
 		_ = s.Close()
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -65,7 +65,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			address, sent := serveEndless(t, test.start, test.repeated)
-			c := &Client{HTTP: NewHTTPClient()}
+			c := &Client{HTTP: NewHTTPClient(nil)}
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
--- a/internal/local/cutoff_test.go
+++ b/internal/local/cutoff_test.go
@@ -24,7 +24,9 @@
 			t.Fatal(err)
 		}
 	}
-	waitUntil(ctx, t, d, "all servers are known", func() bool { return readyEverywhere(d, "luthier-model", 4) && readyEverywhere(d, "commission-ledger", 3) })
+	waitUntil(ctx, t, d, "all servers are known", func() bool {
+		return readyEverywhere(d, "luthier-model", 4) && readyEverywhere(d, "commission-ledger", 3)
+	})
 	type call struct {
 		daemon int
 		sentAt time.Time
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -328,6 +328,25 @@
 	return list
 }
 
+// ServiceOf returns the service of the server at an address, and the number of its servers; an empty name if no
+// server is known there.
+func (r *Roster) ServiceOf(address string) (string, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name, count := "", 0
+	for _, b := range r.table.Backends {
+		if b.Address == address {
+			name = b.Service
+		}
+	}
+	for _, b := range r.table.Backends {
+		if name != "" && b.Service == name {
+			count++
+		}
+	}
+	return name, count
+}
+
 // Alive reports whether the run of another daemon that is identified by holder was contacted within the
 // lease.
 func (r *Roster) Alive(holder string) bool {
