--- a/internal/detour/helpers.go
+++ b/internal/detour/helpers.go
@@ -57,6 +57,8 @@
 	Zone string
 
 	list []*candidate
+	// noneAt is when the leader last offered none.
+	noneAt clock.Instant
 	// askedAt is when the leader was last asked.
 	askedAt clock.Instant
 }
@@ -64,18 +66,22 @@
 type candidate struct {
 	Helper
 	restUntil clock.Instant
+	// unreached is set if the last request was not sent because the helper did not reach the servers.
+	unreached bool
 	// sent is the number of requests in progress at the helper from this daemon, waitingSince the time since
 	// which it has responded to none of them.
 	sent         int
 	waitingSince clock.Instant
 }
 
-// Learn replaces the helpers with those that the leader offers. What is known of a helper is kept. Without an
-// offer the present ones stay.
-func (h *Helpers) Learn(offered []Helper) {
+// Learn replaces the helpers with those that the leader offers. What is known of a helper is kept. If it offers
+// none, the present ones stay.
+func (h *Helpers) Learn(now clock.Instant, offered []Helper) {
 	if len(offered) == 0 {
+		h.noneAt = now
 		return
 	}
+	h.noneAt = 0
 	list := make([]*candidate, 0, len(offered))
 	for _, o := range offered {
 		c := h.find(o.Name)
@@ -167,6 +173,7 @@
 		return
 	}
 	c.sent = max(c.sent-1, 0)
+	c.unreached = o == Unreached
 	switch o {
 	case Failed:
 		c.restUntil = now.Add(failedRest)
@@ -176,3 +183,17 @@
 		c.restUntil = now.Add(unreachedRest)
 	}
 }
+
+// NoneReaches reports whether the leader has just offered none, or all known helpers have just said that they do
+// not reach the servers.
+func (h *Helpers) NoneReaches(now clock.Instant) bool {
+	if h.noneAt > 0 && now.Sub(h.noneAt) <= 2*refreshInterval {
+		return true
+	}
+	for _, c := range h.list {
+		if !c.unreached || !c.restUntil.After(now) {
+			return false
+		}
+	}
+	return len(h.list) > 0
+}
--- a/internal/detour/path.go
+++ b/internal/detour/path.go
@@ -3,14 +3,15 @@
 // its own path by the connections that it opens for its requests:
 //
 //	path.Failed(detour.Failure{Server: "i-1", StartedAt: start, At: now}, servers)
+//	path.Opened(now)
 //	switch path.Choose(now, request) {
 //	case detour.Direct:  // send to a server
 //	case detour.Around:  // send to helpers.Choose(now, draw, tried)
 //	case detour.Nowhere: // no daemon reaches the servers
 //	}
 //
-// A single server that crashed, is frozen or overloaded does not show that the path is cut: other servers
-// accept connections meanwhile. While the path is cut, the daemon opens a connection to one server at a
+// Servers that crashed, are frozen or overloaded do not show that the path is cut: others accept connections or
+// respond meanwhile. While the path is cut, the daemon opens a connection to one server at a
 // time to find out when it is restored, and then returns to it gradually.
 //
 // Helpers come from the leader, which offers a few of the daemons that report to it when a daemon asks.
@@ -30,7 +31,7 @@
 
 const (
 	Open      State = iota // connections can be opened, as far as known
-	Cut                    // no server accepts connections
+	Cut                    // servers accept no connections
 	Returning              // a server accepted a connection after a cut
 )
 
@@ -51,12 +52,14 @@
 	// evidenceTime is how long a failure counts: a few requests of a daemon that gets one in 3 s.
 	evidenceTime = 8 * clock.Second
 	// probeInterval is the time between two probes of a path, and between two trials of a service that no
-	// daemon reaches. It doubles each time that a path which seemed restored is cut again, up to
-	// maxProbeInterval.
-	probeInterval    = 500 * clock.Millisecond
-	maxProbeInterval = 4 * clock.Second
+	// daemon reaches. The first probes follow each other after firstProbeInterval, which doubles, as the servers
+	// that failed may have ended. It doubles further each time that a path which seemed restored is cut again,
+	// up to maxProbeInterval.
+	probeInterval      = 500 * clock.Millisecond
+	firstProbeInterval = 50 * clock.Millisecond
+	maxProbeInterval   = 4 * clock.Second
 	// returnTime is the time over which requests return to a restored path, and minReturnShare the share
-	// that returns at once.
+	// that returns at once. After a shorter cut all return at once.
 	returnTime     = clock.Second
 	minReturnShare = 0.1
 	// confirmTime is the time after which requests that must not run twice return to a restored path although
@@ -74,6 +77,8 @@
 	At        clock.Instant
 	// Silent is set if the server's VM did not respond, and unset if it refused or reset the connection.
 	Silent bool
+	// Broke is set if the connection opened, and broke with its first request.
+	Broke bool
 }
 
 // Path is what an entry daemon knows of its own path to the servers of one service. The zero value is an
@@ -91,13 +96,17 @@
 	// confirmed is set in state Returning after a response on a connection that was opened since the cut.
 	confirmed bool
 	probedAt  clock.Instant
-	// relapses counts the cuts that followed a probe without a response in between.
+	// probes counts the probes of the present cut, relapses the cuts that followed a probe without a response in
+	// between.
+	probes   int
 	relapses int
 	// resumedAt is when the daemon's own process last resumed after a pause.
 	resumedAt clock.Instant
 	// nobody is set while helpers do not reach the servers either; the next trial is due at retryAt.
 	nobody  bool
 	retryAt clock.Instant
+	// helpedAt is when helpers reached the servers again after that.
+	helpedAt clock.Instant
 }
 
 // Failed records a failure. Servers is the number of servers that the service has. It reports whether the
@@ -117,14 +126,12 @@
 		p.silent = p.silent || f.Silent
 		return false
 	}
-	switch {
-	case p.State == Returning && !p.confirmed:
-		p.relapses++
-		p.probedAt = f.At
-	case len(p.failures) < min(minUnreached, servers):
+	relapse := p.State == Returning && !p.confirmed && f.Broke
+	if !relapse && len(p.failures) < min(minUnreached, servers) {
 		return false
-	default:
-		p.probedAt = 0
+	}
+	if relapse {
+		p.relapses++
 	}
 	p.enter(Cut, f.At)
 	p.cutFrom = p.failures[0].StartedAt
@@ -132,26 +139,32 @@
 	return true
 }
 
-// Connected records that a probe opened a connection. It reports whether State changed.
-func (p *Path) Connected(now clock.Instant) bool {
+// Opened records that a connection was opened. It reports whether State changed.
+func (p *Path) Opened(now clock.Instant) bool {
+	// A connection that opened and broke is not contradicted by one that opened.
+	p.failures = slices.DeleteFunc(p.failures, func(o Failure) bool { return !o.Broke })
 	if p.State != Cut {
 		return false
 	}
-	p.failures = p.failures[:0]
-	if p.nobody {
-		// It was the servers that nobody reached, so that there is no load to return gradually.
+	// If helpers did not reach the servers either, it was not this daemon's path, and there is no load to return
+	// gradually.
+	wasNobody := p.nobody || p.helpedAt > p.Since && now.Sub(p.helpedAt) <= 2*probeInterval
+	if wasNobody || len(p.failures) == 0 && now.Sub(p.Since) < returnTime {
 		p.enter(Open, now)
-		return true
+	} else {
+		p.enter(Returning, now)
 	}
-	p.enter(Returning, now)
 	return true
 }
 
 // Answered records a response on a connection that was opened at a time. It reports whether State changed.
 func (p *Path) Answered(now, openedAt clock.Instant) bool {
-	if p.State == Open && len(p.failures) == 0 || openedAt < p.evidenceSince() {
+	if p.State == Open && len(p.failures) == 0 {
 		return false
 	}
+	if openedAt < p.evidenceSince() {
+		return p.answeredOverOldConnection(now)
+	}
 	p.failures, p.relapses = p.failures[:0], 0
 	switch p.State {
 	case Cut:
@@ -168,6 +181,18 @@
 	return false
 }
 
+// answeredOverOldConnection records a response on a connection that was open before the failures. It tells a path
+// that is cut from servers that refuse connections because they ended, but not from a path on which new connections
+// get no response.
+func (p *Path) answeredOverOldConnection(now clock.Instant) bool {
+	p.failures = slices.DeleteFunc(p.failures, func(o Failure) bool { return !o.Silent && !o.Broke })
+	if p.State == Cut && !p.silent && len(p.failures) == 0 {
+		p.enter(Open, now)
+		return true
+	}
+	return false
+}
+
 // evidenceSince returns the time from which an opened connection contradicts the failures.
 func (p *Path) evidenceSince() clock.Instant {
 	if p.State == Open && len(p.failures) > 0 {
@@ -181,7 +206,7 @@
 
 func (p *Path) enter(s State, now clock.Instant) {
 	p.State, p.Since = s, now
-	p.confirmed, p.nobody = false, false
+	p.confirmed, p.nobody, p.probes = false, false, 0
 }
 
 // Suspect reports whether servers have failed and none has responded since.
@@ -233,14 +258,23 @@
 
 // ProbeDue reports whether a probe is due: an attempt to open a connection to one server.
 func (p *Path) ProbeDue(now clock.Instant) bool {
-	interval := min(probeInterval<<min(p.relapses, 3), maxProbeInterval)
-	if p.State != Cut || p.probedAt > 0 && now.Sub(p.probedAt) < interval {
+	interval := min(firstProbeInterval<<min(p.probes, 4), probeInterval)
+	if p.relapses > 0 {
+		interval = min(probeInterval<<min(p.relapses, 3), maxProbeInterval)
+	}
+	if p.State != Cut || (p.probes > 0 || p.relapses > 0) && now.Sub(p.probedAt) < interval {
 		return false
 	}
 	p.probedAt = now
+	p.probes++
 	return true
 }
 
+// HasFailed reports whether a server has failed and no connection was opened since. Probes prefer others.
+func (p *Path) HasFailed(server string) bool {
+	return slices.ContainsFunc(p.failures, func(f Failure) bool { return f.Server == server })
+}
+
 // NobodyReached records that helpers did not reach the servers either. It reports whether this was not known.
 func (p *Path) NobodyReached(now clock.Instant) bool {
 	if p.State != Cut {
@@ -252,4 +286,8 @@
 }
 
 // Helped records that a helper reached a server.
-func (p *Path) Helped() { p.nobody = false }
+func (p *Path) Helped(now clock.Instant) {
+	if p.nobody {
+		p.nobody, p.helpedAt = false, now
+	}
+}
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -317,5 +317,5 @@
 		names = append(names, h.Name)
 	}
 	e.log.Info("helpers offered by leader", "helpers", names)
-	e.Proxy.UpdateHelpers(func(h *detour.Helpers) { h.Learn(offered) })
+	e.Proxy.UpdateHelpers(func(h *detour.Helpers) { h.Learn(e.clock.Now(), offered) })
 }
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -4,10 +4,10 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,6 +118,14 @@
 	}
 }
 
+// observeOpened records that a connection was opened. The caller holds the lock.
+func (p *Proxy) observeOpened(service string) {
+	s := p.serviceState(service)
+	if s.Path.Opened(p.Clock.Now()) {
+		p.pathChanged(s)
+	}
+}
+
 // observeAnswer records a response on a connection. The caller holds the lock.
 func (p *Proxy) observeAnswer(service string, openedAt clock.Instant) {
 	s := p.serviceState(service)
@@ -129,7 +137,9 @@
 // pathChanged acts on a path that has become better. The caller holds the lock.
 func (p *Proxy) pathChanged(s *ServiceState) {
 	p.Log.Info("servers of service are reachable from this daemon", "service", s.Name, "path", s.Path.State.String())
-	s.Readmit()
+	if s.Path.State == detour.Returning {
+		s.Readmit()
+	}
 }
 
 // startProbe finds out at intervals whether a server accepts connections again.
@@ -142,7 +152,7 @@
 }
 
 // probePause is the time between two checks whether a probe is due.
-const probePause = 100 * clock.Millisecond
+const probePause = 50 * clock.Millisecond
 
 // probe opens a connection to a random server if that is due. It reports false when the path is not cut any
 // more.
@@ -153,8 +163,8 @@
 	due := s.Path.ProbeDue(now)
 	open := s.Path.State != detour.Cut || p.closed
 	address := ""
-	if due && len(s.Servers) > 0 {
-		address = s.Servers[rand.IntN(len(s.Servers))].Address
+	if due {
+		address = s.probeAddress()
 	}
 	p.mu.Unlock()
 	if open || address == "" {
@@ -165,12 +175,23 @@
 	_, err := p.Pool.Probe(ctx, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err == nil && s.Path.Connected(p.Clock.Now()) {
+	if err == nil && s.Path.Opened(p.Clock.Now()) {
 		p.pathChanged(s)
 	}
 	return s.Path.State == detour.Cut && !p.closed
 }
 
+// probeAddress returns the address of a random server, rather one that has not failed; empty if there is none.
+func (s *ServiceState) probeAddress() string {
+	address := ""
+	for _, i := range rand.Perm(len(s.Servers)) {
+		if address = s.Servers[i].Address; !s.Path.HasFailed(address) {
+			break
+		}
+	}
+	return address
+}
+
 // Close ends the background work of the proxy.
 func (p *Proxy) Close() {
 	p.mu.Lock()
@@ -199,6 +220,14 @@
 	return way
 }
 
+// pathState returns the state of the daemon's path to the service.
+func (x *exchange) pathState() detour.State {
+	p := x.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.serviceState(x.service).Path.State
+}
+
 // awaitHelpers reports whether the daemon knows helpers. If it has none yet, it asks the leader.
 func (x *exchange) awaitHelpers(ctx context.Context) bool {
 	p := x.proxy
@@ -290,6 +319,7 @@
 	}
 	p.mu.Unlock()
 	if !ok || len(x.triedHelpers) >= maxHelpersTried {
+		x.observeNoHelper()
 		return retry.Unsent, false
 	}
 	x.helper = helper.Name
@@ -311,11 +341,11 @@
 	switch outcome {
 	case detour.Unreached:
 		x.unreachedHelpers++
-		if x.unreachedHelpers >= min(minUnreachedHelpers, p.helpers.Known()) && service.Path.NobodyReached(now) {
+		if (x.unreachedHelpers >= minUnreachedHelpers || p.helpers.NoneReaches(now)) && service.Path.NobodyReached(now) {
 			p.Log.Info("servers of service are unreachable from helpers too", "service", x.service, "id", x.request.ID, "helpers", x.triedHelpers)
 		}
 	case detour.Answered, detour.Broken:
-		service.Path.Helped()
+		service.Path.Helped(now)
 	}
 	if a.choice.Server != nil {
 		a.observeEnd(service, result, result == retry.Incomplete || result == retry.Failed, x.eventCount-eventsBefore)
@@ -324,6 +354,16 @@
 	return result, true
 }
 
+// observeNoHelper records that no helper is left to ask, if that is because none reaches the servers.
+func (x *exchange) observeNoHelper() {
+	p := x.proxy
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now := p.Clock.Now(); p.helpers.NoneReaches(now) {
+		p.serviceState(x.service).Path.NobodyReached(now)
+	}
+}
+
 // minUnreachedHelpers is the number of helpers that must not reach a service either before its servers count as
 // unreachable.
 const minUnreachedHelpers = 2
@@ -438,9 +478,10 @@
 	return x.head(h)
 }
 
-// isTimeout reports whether a connection ended because the other VM did not respond.
+// isTimeout reports whether a connection could not be opened because the other VM did not respond.
 func isTimeout(err error) bool {
-	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, context.DeadlineExceeded)
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // observeEvidence records evidence on the version of the server; at a helper, which does not decide on
--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -90,13 +90,10 @@
 func (x *exchange) attemptHop(ctx context.Context) {
 	p := x.proxy
 	for range maxAssistAttempts {
-		p.mu.Lock()
-		path := p.serviceState(x.service).Path.State
-		p.mu.Unlock()
-		if path == detour.Cut {
+		choice := x.chooseAssistServer()
+		if x.pathState() == detour.Cut && choice.Server == nil {
 			break
 		}
-		choice := x.chooseAssistServer()
 		if choice.Server == nil || choice.Wait > maxExpectedWaitFraction*float64(x.deadline.Sub(p.Clock.Now())) {
 			wait, _ := x.untilServer()
 			x.endHop(hops.Response{Outcome: detour.NoServer, RetryAfter: wait})
@@ -119,12 +116,15 @@
 	x.endHop(hops.Response{Outcome: detour.Unreached})
 }
 
-// chooseAssistServer chooses the server for the attempt.
+// chooseAssistServer chooses the server for the attempt. While the path is cut, it chooses only servers to which a
+// connection is open.
 func (x *exchange) chooseAssistServer() place.Choice {
 	p := x.proxy
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return x.chooseOf(p.serviceState(x.service))
+	s := p.serviceState(x.service)
+	x.idleOnly, x.idleSince = s.Path.State == detour.Cut, s.Path.TrustedSince()
+	return x.chooseOf(s)
 }
 
 // endHop responds to the other daemon without the response of a server.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -86,8 +86,12 @@
 			if result, ok := x.runAround(ctx); ok {
 				return result, true
 			}
-			x.giveUp(unsent, "the servers are unreachable, and no other daemon takes the request")
-			return 0, false
+			if x.pathState() == detour.Cut {
+				x.giveUp(unsent, "the servers are unreachable, and no other daemon takes the request")
+				return 0, false
+			}
+		} else {
+			x.observeNoHelper()
 		}
 	}
 	x.helper = ""
@@ -382,6 +386,11 @@
 		defer cancel()
 	}
 	conn, err := p.Pool.Get(dialCtx, server.Address, maxConnections)
+	if err == nil && conn.UsedAt == 0 {
+		p.mu.Lock()
+		p.observeOpened(x.service)
+		p.mu.Unlock()
+	}
 	if err == nil || errors.Is(err, pool.ErrFull) || ctx.Err() != nil {
 		return conn, err
 	}
@@ -408,7 +417,7 @@
 	case errors.Is(err, syscall.ETIMEDOUT):
 		p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: a.sentAt, At: now, Silent: true})
 	case a.conn.UsedAt == 0 && errors.Is(err, syscall.ECONNRESET):
-		p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: a.conn.OpenedAt, At: now})
+		p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: a.conn.OpenedAt, At: now, Broke: true})
 	}
 }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -99,7 +99,8 @@
 		if conn, err = d.dialDirect(ctx, network, address, suspect); err == nil {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			if path.Answered(d.Clock.Now(), d.Clock.Now()) {
+			changed := path.Opened(d.Clock.Now())
+			if path.Answered(d.Clock.Now(), d.Clock.Now()) || changed {
 				d.logState(service, path)
 			}
 			return conn, nil
@@ -160,7 +161,7 @@
 		}
 		_ = conn.Close()
 		d.mu.Lock()
-		if path.Connected(d.Clock.Now()) {
+		if path.Opened(d.Clock.Now()) {
 			d.logState(service, path)
 		}
 		d.mu.Unlock()
@@ -178,7 +179,7 @@
 	for _, p := range d.Peers() {
 		offered = append(offered, detour.Helper{Name: p.Name, Address: p.Address, Zone: p.Zone})
 	}
-	d.helpers.Learn(offered)
+	d.helpers.Learn(d.Clock.Now(), offered)
 	d.mu.Unlock()
 	var tried []string
 	unreached := 0
@@ -199,7 +200,7 @@
 			unreached++
 		}
 		if outcome == detour.Answered {
-			d.path(service).Helped()
+			d.path(service).Helped(d.Clock.Now())
 		}
 		d.mu.Unlock()
 		if err == nil {
@@ -213,7 +214,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if unreached > 0 && unreached == len(tried) {
+	if unreached > 0 && unreached == len(tried) || d.helpers.NoneReaches(d.Clock.Now()) {
 		d.path(service).NobodyReached(d.Clock.Now())
 	}
 	return nil, &net.OpError{Op: "dial", Net: network, Err: errUnreached}
@@ -251,5 +252,5 @@
 
 func isTimeout(err error) bool {
 	var timeout net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
