Place: where most servers are ejected, the others are used while they have free slots

Now the others come first until their slots are taken.

TestFewSoundServersAreUsedUntilTheyAreFull failed before (the first request got a server that cannot be connected to).

--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -220,14 +220,15 @@
 	cached := s.cachedTokens(q)
 	shared := sharedTokens(q.Parts)
 	first, second := s.preferred(q)
-	best := Choice{Wait: math.Inf(1)}
-	lowest := math.Inf(1)
+	best, sound := Choice{Wait: math.Inf(1)}, Choice{}
+	lowest, lowestSound := math.Inf(1), math.Inf(1)
 	mayEject := s.mayEject(q.Now)
 	for i, server := range s.Servers {
 		if q.excludes(server) || slices.Contains(q.Avoid, server.ID) {
 			continue
 		}
-		if mayEject && server.ejected(q.Now) {
+		ejected := server.ejected(q.Now)
+		if mayEject && ejected {
 			continue
 		}
 		tokens := cached[server]
@@ -248,6 +249,14 @@
 			lowest = score
 			best = Choice{Server: server, Wait: wait, Cached: tokens}
 		}
+		if score < lowestSound && !ejected && server.Local.Requests+server.Remote.Requests < server.Slots {
+			lowestSound = score
+			sound = Choice{Server: server, Wait: wait, Cached: tokens}
+		}
+	}
+	// Where most servers are ejected, the few others are used as long as they have free slots.
+	if !mayEject && sound.Server != nil {
+		return sound
 	}
 	return best
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -175,6 +175,30 @@
 	}
 }
 
+// TestFewSoundServersAreUsedUntilTheyAreFull checks a service most of whose servers cannot be connected to: requests go
+// to the others while these have free slots, and to all of them after that.
+func TestFewSoundServersAreUsedUntilTheyAreFull(t *testing.T) {
+	s := service(10)
+	for _, server := range s.Servers[:7] {
+		server.Unreachable(1000)
+	}
+	slots := 0
+	for _, server := range s.Servers[7:] {
+		slots += server.Slots
+	}
+	for i := range slots {
+		q := &Query{Now: 1100, Zone: "z", Tokens: 10, Draw: uint64(i) * 7919}
+		c := s.Choose(q)
+		if c.Server.EjectedUntil > 0 {
+			t.Fatalf("request %d of %d: got %s, which cannot be connected to", i, slots, c.Server.ID)
+		}
+		s.Start(1100, c, q)
+	}
+	if c := s.Choose(&Query{Now: 1100, Zone: "z", Tokens: 10}); c.Server == nil {
+		t.Error("request beyond the free slots: got no server, want any")
+	}
+}
+
 // TestUnsentRequestsProveNothing checks that attempts which did not reach their server neither count as service time
 // nor admit an ejected server again.
 func TestUnsentRequestsProveNothing(t *testing.T) {
--- a/internal/proxy/around_test.go
+++ b/internal/proxy/around_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer syscall.Close(fd)
+	defer func() { _ = syscall.Close(fd) }()
 	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
 		t.Fatal(err)
 	}
