--- a/internal/detour/world_test.go
+++ b/internal/detour/world_test.go
@@ -117,7 +117,7 @@
 	if !d.dead {
 		r := &sentRequest{by: d, sentAt: w.now}
 		w.sent = append(w.sent, r)
-		w.attempt(r, &Request{Repeatable: w.random.IntN(2) == 0, Draw: w.random.Float64()}, nil, 0)
+		w.attempt(r, &Request{Repeatable: w.random.IntN(2) == 0, Draw: w.random.Float64()}, nil)
 	}
 	w.after(w.gap(perSecond), func() { w.arrive(d, perSecond) })
 }
@@ -182,7 +182,7 @@
 	w.after(100*clock.Millisecond, func() { w.probe(d) })
 }
 
-func (w *world) attempt(r *sentRequest, q *Request, tried []string, unreachedHelpers int) {
+func (w *world) attempt(r *sentRequest, q *Request, tried []string) {
 	d := r.by
 	if q.Unreached > 4 {
 		w.end(r, false)
@@ -199,23 +199,23 @@
 			}
 		}
 		if d.helpers.Known() > 0 {
-			w.attemptAround(r, q, tried, unreachedHelpers)
+			w.attemptAround(r, q, tried)
 			return
 		}
 		if d.path.State == Cut && d.helpers.NoneReaches(w.now) {
 			d.path.NobodyReached(w.now)
 		}
 	}
-	w.attemptDirect(r, q, tried, unreachedHelpers)
+	w.attemptDirect(r, q, tried)
 }
 
-func (w *world) attemptDirect(r *sentRequest, q *Request, tried []string, unreachedHelpers int) {
+func (w *world) attemptDirect(r *sentRequest, q *Request, tried []string) {
 	d := r.by
 	r.direct = true
 	w.connect(d, func(ok bool) {
 		if !ok {
 			q.Unreached++
-			w.attempt(r, q, tried, unreachedHelpers)
+			w.attempt(r, q, tried)
 			return
 		}
 		openedAt := w.now
@@ -239,7 +239,7 @@
 	})
 }
 
-func (w *world) attemptAround(r *sentRequest, q *Request, tried []string, unreachedHelpers int) {
+func (w *world) attemptAround(r *sentRequest, q *Request, tried []string) {
 	d := r.by
 	helper, ok := d.helpers.Choose(w.now, w.random.Uint64(), tried)
 	if !ok || len(tried) >= 3 {
@@ -250,7 +250,7 @@
 			w.end(r, false)
 			return
 		}
-		w.attemptDirect(r, q, tried, unreachedHelpers)
+		w.attemptDirect(r, q, tried)
 		return
 	}
 	r.around = true
@@ -263,13 +263,12 @@
 			d.path.Helped(w.now)
 			w.end(r, true)
 		case Unreached:
-			unreachedHelpers++
-			if unreachedHelpers >= 2 || d.helpers.NoneReaches(w.now) {
+			if d.helpers.NoneReaches(w.now) {
 				d.path.NobodyReached(w.now)
 			}
-			w.attempt(r, q, tried, unreachedHelpers)
+			w.attempt(r, q, tried)
 		default:
-			w.attempt(r, q, tried, unreachedHelpers)
+			w.attempt(r, q, tried)
 		}
 	}
 	w.after(roundTripTime, func() {
@@ -330,12 +329,13 @@
 	perSecond      float64
 }{{6, 4, 10}, {295, 6, 4}}
 
-// TestCutOffDaemonsAreServedByOthers cuts daemons off: one, all of a zone, and half of them.
+// TestCutOffDaemonsAreServedByOthers cuts daemons off: one, all of a zone, half, and five of six.
 func TestCutOffDaemonsAreServedByOthers(t *testing.T) {
 	cuts := map[string]func(i int, d *entry) bool{
 		"one":  func(i int, _ *entry) bool { return i == 0 },
 		"zone": func(_ int, d *entry) bool { return d.zone == "zone-1" },
 		"half": func(i int, _ *entry) bool { return i%2 == 0 },
+		"most": func(i int, _ *entry) bool { return i%6 != 0 },
 	}
 	for _, size := range sizes {
 		for name, cut := range cuts {
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -340,8 +340,7 @@
 	}
 	switch outcome {
 	case detour.Unreached:
-		x.unreachedHelpers++
-		if (x.unreachedHelpers >= minUnreachedHelpers || p.helpers.NoneReaches(now)) && service.Path.NobodyReached(now) {
+		if p.helpers.NoneReaches(now) && service.Path.NobodyReached(now) {
 			p.Log.Info("servers of service are unreachable from helpers too", "service", x.service, "id", x.request.ID, "helpers", x.triedHelpers)
 		}
 	case detour.Answered, detour.Broken:
@@ -364,10 +363,6 @@
 	}
 }
 
-// minUnreachedHelpers is the number of helpers that must not reach a service either before its servers count as
-// unreachable.
-const minUnreachedHelpers = 2
-
 // roundTripAround sends the request to the helper and handles the response.
 func (a *attempt) roundTripAround(ctx context.Context, versions []string) (retry.Result, detour.Outcome) {
 	x, p := a.exchange, a.proxy
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -416,10 +416,8 @@
 	trial bool
 	// hop describes the attempt if the request came from another entry daemon; nil otherwise.
 	hop *hops.Request
-	// unreached counts the servers that could not be connected to, unreachedHelpers the helpers that could not
-	// connect to servers either.
-	unreached        int
-	unreachedHelpers int
+	// unreached counts the servers that could not be connected to.
+	unreached int
 	// triedHelpers are the names of the helpers that did not take the request or were lost. brokenHelpers are those
 	// whose answer broke off, for which the helper or the server may be the cause. helper is the last one asked.
 	triedHelpers    []string
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -182,7 +182,6 @@
 	d.helpers.Learn(d.Clock.Now(), offered)
 	d.mu.Unlock()
 	var tried []string
-	unreached := 0
 	for len(tried) < maxHelpers {
 		d.mu.Lock()
 		helper, ok := d.helpers.Choose(d.Clock.Now(), rand.Uint64(), tried)
@@ -196,9 +195,6 @@
 		conn, outcome, err := d.openTunnel(ctx, network, helper, address)
 		d.mu.Lock()
 		d.helpers.Done(d.Clock.Now(), helper.Name, outcome)
-		if outcome == detour.Unreached {
-			unreached++
-		}
 		if outcome == detour.Answered {
 			d.path(service).Helped(d.Clock.Now())
 		}
@@ -214,7 +210,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if unreached > 0 && unreached == len(tried) || d.helpers.NoneReaches(d.Clock.Now()) {
+	if d.helpers.NoneReaches(d.Clock.Now()) {
 		d.path(service).NobodyReached(d.Clock.Now())
 	}
 	return nil, &net.OpError{Op: "dial", Net: network, Err: errUnreached}
