--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -20,6 +20,8 @@
 const (
 	// maxAssistAttempts is the number of servers that a helper tries to connect to for one request.
 	maxAssistAttempts = 2
+	// assistMargin is the time after a request's deadline at which a helper ends it by itself.
+	assistMargin = 500 * clock.Millisecond
 	// passBufferBytes is the buffer of a response that a helper passes on: a few events of a stream.
 	passBufferBytes = 4 << 10
 )
@@ -65,7 +67,8 @@
 	}
 	defer p.Room.Release(length)
 	x.deadline = x.arrived.Add(x.hop.Remaining)
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.hop.Remaining.Std())
+	// The other daemon ends the request at its deadline. This one does only if the connection is lost without a sign.
+	ctx, cancel := context.WithTimeout(x.r.Context(), (x.hop.Remaining + assistMargin).Std())
 	defer cancel()
 	var err error
 	if x.request, err = p.Dialect.ParseRequest(x.r); err != nil {
