Feed: a core daemon counts as heard once its event is applied

A request in between would be judged by older rules or none.

TestCoreIsHeardOnceItsEventIsApplied failed before (1 heard, want 0) and passes.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -206,6 +206,7 @@
 		}
 		f.recordEvent(address, stream.Msg())
 		f.OnEvent(address, stream.Msg())
+		f.recordHeard(address)
 	}
 	return count, stream.Err()
 }
@@ -214,9 +215,6 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.streams[address]; s != nil {
-		s.lastEventAt = now
-	}
 	f.clocks[address] = clockReading{offset: clock.Instant(e.GetClock()).Sub(now), at: now}
 	if len(e.GetCores()) > 0 {
 		f.cores = e.GetCores()
@@ -225,3 +223,13 @@
 		f.leader = e.GetLeader()
 	}
 }
+
+// recordHeard records that an event of a core daemon has been applied. Until then, what it contains is not in force.
+func (f *Follower) recordHeard(address string) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.streams[address]; s != nil {
+		s.lastEventAt = now
+	}
+}
