Notice: what backend servers say of themselves outlives their records, and holds for requests on their way

Cause: a rest and the notice of leaving were fields of the routed server, limits and brittleness were kept by its ID and thrown away with its route.

Package notice keeps all four in one place by the start of a server, with one rule for what ends each: another start ends all, a rest ends with its time, limits and brittleness with an answer that does not state them, leaving never. What is known of a removed server is dropped five minutes later, or when its rest ends. Requests check again once their connection is open, and go back to be placed.

TestNoticesEndByTheirOwnRule, TestNoticesOfRemovedServersAreDropped and others play each notice without a network.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/moves"
+	"swiftbeam/internal/notice"
 	"swiftbeam/internal/peers"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
@@ -393,12 +394,15 @@
 		if r != nil {
 			service = r.Service
 		}
-		e.Proxy.UpdateService(service, func(svc *proxy.ServiceState) {
-			svc.Remove(id)
+		e.Proxy.UpdateService(service, func(svc *proxy.ServiceState) { svc.Remove(id) })
+		e.Proxy.UpdateNotices(func(b *notice.Board) {
+			start := notice.Server{ID: id, Born: s.Born}
+			b.Removed(e.clock.Now(), start)
 			// The end of a server that was going to leave proves nothing about its requests.
-			s.Leaving = s.Leaving || r != nil && r.State >= enrol.Leaving
+			if r != nil && r.State >= enrol.Leaving {
+				b.Leaves(start)
+			}
 		})
-		e.Proxy.ForgetServer(id)
 		e.Pool.CloseIdle(s.Address)
 	}
 	for id, r := range usable {
@@ -407,6 +411,7 @@
 		}
 		s := &place.Server{ID: id, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Spot: r.Spot, Born: r.Born}
 		e.routedServers[id] = s
+		e.Proxy.UpdateNotices(func(b *notice.Board) { b.Routed(notice.Server{ID: id, Born: r.Born}) })
 		e.Proxy.UpdateService(r.Service, func(svc *proxy.ServiceState) { svc.Add(s) })
 	}
 }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -46,13 +46,9 @@
 	Slots   int
 	Spot    bool
 	// Born is the start time of the server; another start is another Server.
-	Born clock.Instant
-	// Leaving is set when the server has said that it leaves. It is not chosen any more.
-	Leaving bool
-	// PausedUntil is the time until which the server wants no requests from this daemon.
-	PausedUntil clock.Instant
-	Local       Load
-	Remote      Load
+	Born   clock.Instant
+	Local  Load
+	Remote Load
 	// FailureRate is the moving average of the fraction of failed requests, from 0 to 1.
 	FailureRate float64
 	// EjectedUntil is the time until which a server that failed is not chosen. Probing is set while
@@ -120,7 +116,7 @@
 }
 
 func (q *Query) excludes(s *Server) bool {
-	return s.Leaving || s.PausedUntil.After(q.Now) || q.Versions != nil && !q.Versions(s.Version) || q.Blocked != nil && q.Blocked(s)
+	return q.Versions != nil && !q.Versions(s.Version) || q.Blocked != nil && q.Blocked(s)
 }
 
 // Choice is a server with the expected time to its first response in milliseconds.
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -295,7 +295,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.serviceState(x.service).Servers {
-		if s.Leaving && len(list) < maxAvoided {
+		if len(list) < maxAvoided && p.notices.IsLeaving(noticeServer(s)) {
 			list = append(list, s.ID)
 		}
 	}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -141,10 +141,10 @@
 	toClusterTime := func(at clock.Instant) clock.Instant { return clusterTime.Add(at.Sub(now)) }
 	b := crash.Break{
 		Service: x.service, Server: startID(server), Run: crash.Run{SentAt: toClusterTime(a.sentAt), Suspects: x.suspects}, At: clusterTime,
-		Explained: server.Leaving || p.limits.IsBrittle(server.ID) || p.serviceState(x.service).onTrial(server.Version),
+		Explained: p.notices.IsLeaving(noticeServer(server)) || p.notices.Limits.IsBrittle(server.ID) || p.serviceState(x.service).onTrial(server.Version),
 	}
-	if p.limits.IsBrittle(server.ID) {
-		p.gate.Down(now, server.ID)
+	if p.notices.Limits.IsBrittle(server.ID) {
+		p.notices.Gate.Down(now, server.ID)
 	}
 	if a.firstEventAt > 0 {
 		b.RespondedAt = toClusterTime(a.firstEventAt)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -15,11 +15,11 @@
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
 	"swiftbeam/internal/frail"
+	"swiftbeam/internal/notice"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/spool"
-	"swiftbeam/internal/turns"
 	"swiftbeam/pkg/clock"
 )
 
@@ -178,10 +178,10 @@
 	now, clusterTime := p.Clock.Now(), p.ClusterTime()
 	shortest, found := clock.Duration(0), false
 	for _, s := range p.serviceState(x.service).Servers {
-		if s.Leaving || x.allowVersion != nil && !x.allowVersion(s.Version) {
+		wait, takes := p.notices.Wait(now, clusterTime, noticeServer(s))
+		if !takes || x.allowVersion != nil && !x.allowVersion(s.Version) {
 			continue
 		}
-		wait := max(s.PausedUntil.Sub(now), p.limits.Wait(clusterTime, s.ID))
 		if wait <= 0 {
 			return 0, false
 		}
@@ -245,8 +245,8 @@
 		if choice.Server == nil {
 			return choice
 		}
-		if !p.limits.IsBrittle(choice.Server.ID) || p.gate.Allows(x.brittleQuery(service, choice.Server)) {
-			p.limits.Take(p.ClusterTime(), choice.Server.ID)
+		if !p.notices.Limits.IsBrittle(choice.Server.ID) || p.notices.Gate.Allows(x.brittleQuery(service, choice.Server)) {
+			p.notices.Limits.Take(p.ClusterTime(), choice.Server.ID)
 			return choice
 		}
 		x.noRoom = true
@@ -261,7 +261,7 @@
 	now := p.Clock.Now()
 	q := frail.Query{
 		Now: now, Server: s.ID, Service: service.Name, Servers: len(service.Servers), Slots: s.Slots, Own: s.Local.Requests, Load: s.Local.Requests + s.Remote.Requests,
-		Daemons: p.limiter.Entries, Rank: p.limits.Rank(), Requests: service.Budget.PerSecond(now), Hold: clock.Duration(service.Costs.ServiceTime),
+		Daemons: p.limiter.Entries, Rank: p.notices.Limits.Rank(), Requests: service.Budget.PerSecond(now), Hold: clock.Duration(service.Costs.ServiceTime),
 		Urgency: x.baseUrgency(), Draw: rand.Float64(),
 	}
 	if s.Born > 0 {
@@ -272,12 +272,12 @@
 
 func (x *exchange) query() *place.Query {
 	p := x.proxy
-	now := p.ClusterTime()
+	now, clusterTime := p.Clock.Now(), p.ClusterTime()
 	return &place.Query{
-		Now: p.Clock.Now(), Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
+		Now: now, Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
 		Avoid: x.tried, Versions: x.allowVersion, Draw: rand.Uint64(),
 		Blocked: func(s *place.Server) bool {
-			return !p.limits.Allows(now, s.ID) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
+			return p.notices.Excludes(now, clusterTime, noticeServer(s)) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
 		},
 	}
 }
@@ -334,6 +334,14 @@
 	if err != nil {
 		return retry.Unsent
 	}
+	// The server may have said so while the request waited for the connection.
+	p.mu.Lock()
+	takes := p.notices.Takes(p.Clock.Now(), noticeServer(server))
+	p.mu.Unlock()
+	if !takes {
+		conn.Release(conn.UsedAt > 0)
+		return retry.Unsent
+	}
 	a.conn = conn
 	stopAbort := context.AfterFunc(ctx, conn.Abort)
 	defer func() {
@@ -398,8 +406,8 @@
 	x.unreached++
 	p.mu.Lock()
 	server.Unreachable(now)
-	if p.limits.IsBrittle(server.ID) {
-		p.gate.Down(now, server.ID)
+	if p.notices.Limits.IsBrittle(server.ID) {
+		p.notices.Gate.Down(now, server.ID)
 	}
 	ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
 	p.mu.Unlock()
@@ -551,11 +559,7 @@
 	}()
 	info := p.Dialect.ParseResponse(r.StatusCode, r.Header)
 	if !info.Moved {
-		a.observeLeaving(server, info)
-	}
-	if !info.Moved && a.helper == nil {
-		a.observePause(server, info)
-		a.observeLimit(server, info)
+		a.observeNotices(server, info)
 	}
 	if x.hop != nil {
 		return a.passOn(ctx, server, r, resultOf(r.StatusCode, info))
@@ -614,52 +618,31 @@
 	}
 }
 
-// observeLeaving ends the use of a server that says in its answers that it leaves. Its announcements may
-// say so later or never.
-func (a *attempt) observeLeaving(server *place.Server, info ResponseInfo) {
-	if !info.Leaving {
-		return
+// noticeServer returns the start of a server as package notice identifies it.
+func noticeServer(s *place.Server) notice.Server { return notice.Server{ID: s.ID, Born: s.Born} }
+
+// observeNotices records what the server says of itself. What it asks of the daemon that sent the request does
+// not concern this one if that was a helper.
+func (a *attempt) observeNotices(server *place.Server, info ResponseInfo) {
+	said := notice.Said{Leaving: info.Leaving}
+	if a.helper == nil {
+		said = notice.Said{
+			Answered: info.Signed, Leaving: info.Leaving, Rest: info.RetryAfter, Limited: info.Limited, PerSecond: info.Limit,
+			Brittle: info.Brittle, Tolerated: info.Tolerated, NoRoom: info.NotRun,
+		}
 	}
 	p := a.proxy
 	p.mu.Lock()
-	known := server.Leaving
-	server.Leaving = true
+	change := p.notices.Observe(p.Clock.Now(), p.ClusterTime(), noticeServer(server), said)
 	p.mu.Unlock()
-	if !known {
+	if change.Left {
 		p.Log.Info("backend server leaves, by its answer", "id", a.request.ID, "server", server.ID, "address", server.Address)
 		p.Pool.CloseIdle(server.Address)
 	}
-}
-
-// observePause keeps requests from a server for the time that it asks for.
-func (a *attempt) observePause(server *place.Server, info ResponseInfo) {
-	if info.RetryAfter == 0 {
-		return
-	}
-	p := a.proxy
-	p.mu.Lock()
-	server.PausedUntil = max(server.PausedUntil, p.Clock.Now().Add(info.RetryAfter))
-	p.mu.Unlock()
-	p.Log.Info("backend server wants no requests", "id", a.request.ID, "server", server.ID, "forMs", int64(info.RetryAfter))
-}
-
-// observeLimit records the request limit that a server names in its answers, and whether it is brittle. An answer
-// without them ends both, unless the server may not have written it.
-func (a *attempt) observeLimit(server *place.Server, info ResponseInfo) {
-	if !info.Limited && !info.Brittle && !info.Signed {
-		return
-	}
-	p := a.proxy
-	p.mu.Lock()
-	changed := p.limits.Observe(turns.Limit{
-		Server: server.ID, Limited: info.Limited, PerSecond: info.Limit, Brittle: info.Brittle, Tolerated: info.Tolerated, ObservedAt: p.ClusterTime(),
-	})
-	if info.Brittle && info.NotRun {
-		p.gate.Rejected(p.Clock.Now(), server.ID)
-		p.limits.Rejected(p.ClusterTime(), server.ID)
+	if change.Rests {
+		p.Log.Info("backend server wants no requests", "id", a.request.ID, "server", server.ID, "forMs", int64(info.RetryAfter))
 	}
-	p.mu.Unlock()
-	if changed {
+	if change.Limits {
 		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit,
 			"brittle", info.Brittle, "tolerated", info.Tolerated)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,9 +25,9 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
-	"swiftbeam/internal/frail"
 	"swiftbeam/internal/hops"
 	"swiftbeam/internal/moves"
+	"swiftbeam/internal/notice"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/quota"
@@ -157,8 +157,7 @@
 	mu       sync.Mutex
 	monitor  moves.Monitor
 	services map[string]*ServiceState
-	limits   turns.Limiter
-	gate     frail.Gate
+	notices  notice.Board
 	crashes  crash.Watch
 	// crashesLearned is closed at the next change of crashes; nil while no request waits for it.
 	crashesLearned chan struct{}
@@ -291,31 +290,30 @@
 func (p *Proxy) UpdateLimits(change func(now clock.Instant, limits *turns.Limiter)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	change(p.ClusterTime(), &p.limits)
+	change(p.ClusterTime(), &p.notices.Limits)
 }
 
 // LearnLimits records request limits of servers that other daemons observed.
 func (p *Proxy) LearnLimits(list []turns.Limit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, server := range p.limits.Learn(list) {
-		p.gate.RejectedElsewhere(p.Clock.Now(), server)
+	for _, server := range p.notices.Limits.Learn(list) {
+		p.notices.Gate.RejectedElsewhere(p.Clock.Now(), server)
 	}
 }
 
-// ForgetServer removes what is known of the limits of a server that receives no more requests.
-func (p *Proxy) ForgetServer(id string) {
+// UpdateNotices calls change with what servers said of themselves while the proxy's lock is held.
+func (p *Proxy) UpdateNotices(change func(*notice.Board)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits.Forget(id)
-	p.gate.Forget(id)
+	change(&p.notices)
 }
 
 // UnsentLimits returns up to n request limits of servers that the leader does not have yet.
 func (p *Proxy) UnsentLimits(n int) []turns.Limit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.limits.Unsent(p.ClusterTime(), n)
+	return p.notices.Limits.Unsent(p.ClusterTime(), n)
 }
 
 // UpdateCrashes calls change with the time that the daemons agree on and the traits of requests that crash
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -87,7 +87,7 @@
 	if result == retry.Unsent || result == retry.NotRun || result == retry.Moved || a.r.Context().Err() != nil {
 		return
 	}
-	if result == retry.Incomplete && a.proxy.limits.IsBrittle(a.choice.Server.ID) {
+	if result == retry.Incomplete && a.proxy.notices.Limits.IsBrittle(a.choice.Server.ID) {
 		return
 	}
 	o := moves.Observation{Failed: failed, Counted: a.firstResponseAt > 0}
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// Knows reports whether something is known of a server.
+func (m *Limiter) Knows(server string) bool { return m.byServer[server] != nil }
+
 // Rank returns the daemon's position among all entry daemons.
 func (m *Limiter) Rank() int { return m.member.Rank }
 
