--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -22,7 +22,7 @@
 // Server identifies one start of a server.
 type Server struct {
 	ID string
-	// Born is the time of the start; zero if the deployment does not announce it.
+	// Born is the time of the start; zero if it is not known, or the deployment does not announce it.
 	Born clock.Instant
 }
 
@@ -99,7 +99,13 @@
 }
 
 func (b *Board) endEarlier(s Server) {
-	if e := b.byID[s.ID]; e != nil && s.Born > e.born {
+	e := b.byID[s.ID]
+	switch {
+	case e == nil || s.Born <= e.born:
+	case e.born == 0:
+		// The notices came before the announcement of the start.
+		e.born = s.Born
+	default:
 		b.forget(s.ID)
 		b.byID[s.ID] = &entry{born: s.Born}
 	}
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -100,3 +100,18 @@
 		t.Errorf("servers on the board: got %d, want %d", got, want)
 	}
 }
+
+// TestNoticeBeforeTheRecord records a notice of a server whose announcement has not arrived yet, so that its start is not known.
+func TestNoticeBeforeTheRecord(t *testing.T) {
+	b := &Board{}
+	b.Observe(1000, 1000, Server{ID: "i-1"}, Said{Leaving: true})
+	s := Server{ID: "i-1", Born: 5}
+	b.Routed(s)
+	if !b.IsLeaving(s) {
+		t.Error("the server does not leave once its start is known, want it to")
+	}
+	b.Routed(Server{ID: "i-1", Born: 6})
+	if b.IsLeaving(Server{ID: "i-1", Born: 6}) {
+		t.Error("the next start leaves, want it not to")
+	}
+}
