--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -181,10 +181,13 @@
 	if err != nil {
 		return err
 	}
+	event := "good version v2: " + m.Stage
 	if m.Stage == "finished" {
 		r.report.VersionMovesFinished++
+	} else {
+		event += ": " + m.Evidence
 	}
-	r.printEvent("good version v2: " + m.Stage)
+	r.printEvent(event)
 	return nil
 }
 
