Quota: what accounts have spent is recorded and outlives the loss of all processes

Cause: the leader and the entry daemons are the only ones that know what was spent, and all may be lost at once. A leader whose process was restarted restores it, less what daemons that went on report themselves. Followers are no longer sent an event for a commit that changes nothing for them, of which there are more now.

TestRestartOfTheCoreAloneRefusesLittle is new.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -108,8 +108,10 @@
 
 	crashes *guard.Recorder
 
-	mu    sync.Mutex
-	table enrol.Table
+	mu sync.Mutex
+	// notified is the state that followers were last notified of.
+	notified feed.SharedState
+	table    enrol.Table
 	// announcedDirectly contains the IDs of the servers whose last announcement was received by this
 	// daemon rather than from another core daemon.
 	announcedDirectly map[string]bool
@@ -216,6 +218,7 @@
 	c.tasks.Go(func() { c.Follower.Run(ctx) })
 	c.tasks.Go(func() { c.watchState(ctx) })
 	c.tasks.Go(func() { c.crashes.Run(ctx) })
+	c.tasks.Go(func() { runner.Every(ctx, spendingInterval, func() { c.recordSpending(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, stepInterval, func() { c.stepRollouts(ctx) }) })
@@ -292,7 +295,15 @@
 		c.ruleSet.Store(set)
 		c.log.Info("rules in force", "version", set.Version, "routes", len(set.Routes), "services", len(set.Services), "accounts", len(set.Accounts))
 	}
-	c.Source.Notify()
+	shared := c.sharedState()
+	c.mu.Lock()
+	same := shared.Same(&c.notified)
+	c.notified = shared
+	c.mu.Unlock()
+	// Many commits change nothing that followers are sent.
+	if !same {
+		c.Source.Notify()
+	}
 }
 
 // sharedState returns the part of the replicated state that is sent to followers.
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -78,6 +78,9 @@
 			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now,
 			SpendingUnknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
 		})
+		if d.allocator.SpendingUnknown {
+			c.restoreSpending(now)
+		}
 	}
 	return connect.NewResponse(c.receiveReport(now, r.Msg)), nil
 }
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -50,6 +50,13 @@
 	Crashes uint64
 }
 
+// Same reports whether followers are sent the same for both.
+func (s *SharedState) Same(o *SharedState) bool {
+	sameRollout := func(a, b *state.Rollout) bool { return a.Service == b.Service && a.Revision == b.Revision }
+	return s.Rules.Version == o.Rules.Version && s.Leader == o.Leader && s.Crashes == o.Crashes && slices.Equal(s.Cores, o.Cores) &&
+		slices.EqualFunc(s.Rollouts, o.Rollouts, sameRollout)
+}
+
 // Source streams the state of a core daemon to followers. Set the exported fields before use.
 type Source struct {
 	Clock     clock.Clock
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -61,6 +61,17 @@
 	holders  int
 	// ended is what the runs spent that have ended.
 	ended window.Sliding
+	// recent is what all runs spent, by the time of their reports. unrecorded is the part of it since the last Record, which
+	// contained recordedUnspent as granted and not spent.
+	recent          window.Sliding
+	unrecorded      float64
+	recordedUnspent float64
+	// recorded is what was spent before all processes were restarted, as of the time recordedAt. survived is the part
+	// of it that runs reported which were not restarted, survivedAt the sum of these parts times their times.
+	recorded   []recorded
+	recordedAt clock.Instant
+	survived   float64
+	survivedAt float64
 }
 
 // run is the record of one run of an entry daemon.
@@ -115,7 +126,7 @@
 			r.holdings[a.Name] = h
 			t.holders++
 		}
-		h.report(now, al.Bounds.Window, u)
+		al.count(now, t, h, u, report.SinceRestart)
 		if report.Last {
 			h.unspent = 0
 		}
@@ -131,15 +142,21 @@
 	return grants
 }
 
-// report records what a run reports about its part.
-func (h *holding) report(now clock.Instant, span clock.Duration, u *Use) {
+// count records what a run reports about its part.
+func (al *Allocator) count(now clock.Instant, t *totals, h *holding, u *Use, sinceRestart clock.Duration) {
+	t.recent.Span = al.Bounds.Window
 	spent := u.Total - h.total
 	if h.recent == nil && u.Spent > 0 {
-		h.recent = &window.Sliding{Span: span}
+		h.recent = &window.Sliding{Span: al.Bounds.Window}
 		spent = u.Spent
+		if sinceRestart == 0 || now.Add(-sinceRestart).Before(t.recordedAt) {
+			t.addSurvived(now, spent)
+		}
 	}
 	if spent > 0 && h.recent != nil {
 		h.recent.Add(now, spent)
+		t.recent.Add(now, spent)
+		t.unrecorded += spent
 	}
 	h.spent, h.unspent, h.lease, h.total = u.Spent, u.Unspent.Sum(), u.Lease, u.Total
 }
@@ -148,12 +165,17 @@
 func (al *Allocator) grant(now clock.Instant, r *run, h *holding, u *Use, a *rules.Account, sinceLast clock.Duration) Grant {
 	t := al.total(a.Name)
 	limit := Limit(al.Bounds, a)
+	past := t.recordedUnknown(now, al.Bounds.Window)
 	if al.SpendingUnknown && now.Sub(al.StartedAt) < al.Bounds.Window {
-		limit *= unknownSpendingFraction
+		if len(t.recorded) > 0 {
+			limit *= recordedFraction
+		} else {
+			limit *= unknownSpendingFraction
+		}
 	}
 	daemons := max(al.ExpectedDaemons, t.holders, 1)
 	t.ended.Span = al.Bounds.Window
-	ended := t.ended.Sum(now)
+	ended := t.ended.Sum(now) + past
 	remaining := limit - ended - t.counted - al.unreported(now, t, limit)
 	// Leases of other daemons are reserved: they may use them while this daemon uses its grants.
 	available := min(remaining, limit-ended-(t.exposure-h.exposure)-h.counted)
@@ -306,6 +328,8 @@
 			t.ended.Merge(now, h.recent)
 		}
 		t.ended.Add(now, h.unspent)
+		t.recent.Span = al.Bounds.Window
+		t.recent.Add(now, h.unspent)
 	}
 	al.drop(r)
 	r.ended = true
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -16,6 +16,32 @@
 	limiters  []*Limiter
 	connected []bool // whether the daemon is in contact with the leader
 	spent     []float64
+	// stored are the records of what was spent, which survive the loss of all processes, recordings their number.
+	stored     map[string]Record
+	recordings int
+}
+
+// store stores the records that are due. The daemons' clocks agree.
+func (d *deployment) store() {
+	due := d.allocator.Due(d.now, d.now, d.set)
+	if d.stored == nil {
+		d.stored = make(map[string]Record)
+	}
+	for _, r := range due {
+		d.stored[r.Account] = r
+		d.recordings++
+	}
+	d.allocator.Recorded(due)
+}
+
+// restartLeader replaces the leader by one whose process was restarted, as all may have been.
+func (d *deployment) restartLeader(entries int) {
+	d.allocator = Allocator{Bounds: d.allocator.Bounds, StartedAt: d.now, ExpectedDaemons: entries, SpendingUnknown: true}
+	var records []Record
+	for _, r := range d.stored {
+		records = append(records, r)
+	}
+	d.allocator.Restore(d.now, d.now, records)
 }
 
 const requestTokens = 12_000.0
@@ -566,7 +592,7 @@
 		}
 		if step == killAt+down {
 			restarted = true
-			d.allocator = Allocator{Bounds: d.allocator.Bounds, StartedAt: d.now, ExpectedDaemons: entries, SpendingUnknown: true}
+			d.restartLeader(entries)
 			for i := range d.limiters {
 				*d.limiters[i] = Limiter{Entries: entries, Window: 8 * clock.Second}
 			}
@@ -591,8 +617,54 @@
 			}
 		}
 		d.spent = append(d.spent, spent)
+		if step%2 == 0 {
+			d.store()
+		}
 	}
 	if got := d.maxBySteps(); got > allowed {
 		t.Errorf("got %.0f tokens in 8 s, want at most %.0f", got, float64(allowed))
 	}
+	if seconds := 14; d.recordings > 2*seconds {
+		t.Errorf("records: got %d in %d s, want at most 2 a second", d.recordings, seconds)
+	}
+}
+
+// TestRestartOfTheCoreAloneRefusesLittle restarts the leader while the entry daemons go on, which report what they spent. An
+// account that uses three quarters of its quota must be served.
+func TestRestartOfTheCoreAloneRefusesLittle(t *testing.T) {
+	const entries = 9
+	d := newDeployment(entries)
+	d.allocator.ExpectedDaemons = entries
+	sent, refused := 0, 0
+	for step := range 500 {
+		d.now += 50
+		if step == 200 {
+			d.restartLeader(entries)
+		}
+		for i, limiter := range d.limiters {
+			exchange := func(since clock.Duration) {
+				limiter.Receive(d.now, d.allocator.Grant(d.now, d.set, Report{Run: fmt.Sprint(i, "/b"), Uses: limiter.TakeReport(d.now, nil), SinceLast: since}))
+			}
+			if (step+i)%5 == 0 {
+				exchange(250)
+			}
+			// 9 requests of 12,000 tokens a second, of 145,000 tokens.
+			if (step+i*7)%20 != 0 {
+				continue
+			}
+			ok := d.request(limiter, 1, func() { exchange(50) })
+			if step >= 210 {
+				sent++
+				if !ok {
+					refused++
+				}
+			}
+		}
+		if step%2 == 0 {
+			d.store()
+		}
+	}
+	if refused > sent/20 {
+		t.Errorf("refused: got %d of %d, want at most a twentieth", refused, sent)
+	}
 }
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -11,7 +11,10 @@
 package state
 
 import (
+	"maps"
+
 	"swiftbeam/internal/crash"
+	"swiftbeam/internal/quota"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/conf"
 )
@@ -23,6 +26,9 @@
 	// OperationRetention is how long the result of an operation is kept, so that a repeated request
 	// gets the same result, and how long an ended order is kept.
 	OperationRetention = clock.Day
+	// spendingRetention is how long the record of an account is kept while others are recorded, longer than any window
+	// of quotas.
+	spendingRetention = clock.Minute
 	// CallRetention is how long the record of a call is kept after it got a response or was found not
 	// run.
 	CallRetention = clock.Day
@@ -101,9 +107,15 @@
 	Evidence crash.Evidence
 }
 
-func (PutSection) command()    {}
-func (Barrier) command()       {}
-func (RecordCrashes) command() {}
+// RecordSpending replaces the records of what accounts have spent.
+type RecordSpending struct {
+	Records []quota.Record
+}
+
+func (PutSection) command()     {}
+func (Barrier) command()        {}
+func (RecordCrashes) command()  {}
+func (RecordSpending) command() {}
 
 // SectionVersion is one version of a section's text.
 type SectionVersion struct {
@@ -146,6 +158,8 @@
 	Rollouts map[string]*Rollout
 	// Crashes are the traits of requests under which backend servers ended.
 	Crashes crash.Table
+	// Spending is the last record of what each account has spent of its quota.
+	Spending map[string]quota.Record
 
 	// Document is derived from the sections.
 	Document conf.Document
@@ -188,10 +202,22 @@
 	case RecordCrashes:
 		s.Crashes.Apply(b.At, &b.Evidence)
 		return Result{Version: s.Crashes.Revision}
+	case RecordSpending:
+		s.recordSpending(b.Records)
 	}
 	return Result{}
 }
 
+// recordSpending replaces the records of accounts, and drops those that are much older.
+func (s *State) recordSpending(records []quota.Record) {
+	latest := clock.Instant(0)
+	for _, r := range records {
+		s.Spending[r.Account] = r
+		latest = max(latest, r.At)
+	}
+	maps.DeleteFunc(s.Spending, func(_ string, r quota.Record) bool { return latest.Sub(r.At) > spendingRetention })
+}
+
 // Skip marks a log entry without a command as applied.
 func (s *State) Skip(index uint64) { s.Applied = index }
 
@@ -206,6 +232,7 @@
 	s.Orders = make(map[string]*Order)
 	s.Usage = make(map[uint64]Usage)
 	s.Rollouts = make(map[string]*Rollout)
+	s.Spending = make(map[string]quota.Record)
 }
 
 // putDeduplicated applies an operation once and returns the recorded result if it is repeated.
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -37,6 +37,20 @@
 	return total
 }
 
+// Parts returns what was added in each bucket, the latest first. The first bucket lasts until now, and each of the others
+// ends a bucket's length before the one that precedes it in the list.
+func (w *Sliding) Parts(now clock.Instant) []float64 {
+	w.advance(now)
+	parts := make([]float64, 0, len(w.sums))
+	for i := range int64(len(w.sums)) {
+		parts = append(parts, w.sums[(w.last-i+buckets+1)%(buckets+1)])
+	}
+	return parts
+}
+
+// PartLength returns the length of a bucket of a window.
+func PartLength(span clock.Duration) clock.Duration { return span / buckets }
+
 // Merge adds all that was added to another window with the same span.
 func (w *Sliding) Merge(now clock.Instant, other *Sliding) {
 	w.advance(now)
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"swiftbeam/internal/moves"
+	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -49,6 +51,8 @@
 		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{Step: moveStepToPB(b.MoveStep), At: int64(b.At), Trial: uint32(b.Trial)}}
 	case state.RecordCrashes:
 		m.Body = &peerpb.Command_RecordCrashes{RecordCrashes: &peerpb.RecordCrashes{At: int64(b.At), Evidence: EvidenceToPB(&b.Evidence)}}
+	case state.RecordSpending:
+		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Records: spendingToPB(b.Records)}}
 	case state.Barrier:
 		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
 	}
@@ -106,6 +110,8 @@
 		c.Body = state.StepRollout{MoveStep: moveStepFromPB(p.GetStep()), At: clock.Instant(p.GetAt()), Trial: int(p.GetTrial())}
 	case *peerpb.Command_RecordCrashes:
 		c.Body = state.RecordCrashes{At: clock.Instant(b.RecordCrashes.GetAt()), Evidence: EvidenceFromPB(b.RecordCrashes.GetEvidence())}
+	case *peerpb.Command_RecordSpending:
+		c.Body = state.RecordSpending{Records: spendingFromPB(b.RecordSpending.GetRecords())}
 	case *peerpb.Command_Barrier:
 		c.Body = state.Barrier{}
 	default:
@@ -188,6 +194,7 @@
 		m.Rollouts = append(m.Rollouts, RolloutToPB(r))
 	}
 	m.Crashes = crashTableToPB(&s.Crashes)
+	m.Spending = spendingToPB(slices.Collect(maps.Values(s.Spending)))
 	sortImage(m)
 	return encode(m)
 }
@@ -197,6 +204,7 @@
 	sortBy(m.Operations, (*peerpb.Operation).GetId)
 	sortBy(m.Moves, (*peerpb.Move).GetService)
 	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
+	sortBy(m.Spending, (*peerpb.SpendingRecord).GetAccount)
 	sortBy(m.Rollouts, func(r *peerpb.RolloutRecord) string { return r.GetMove().GetService() })
 	slices.SortFunc(m.Usage, func(a, b *peerpb.PutUsage) int { return cmp.Compare(a.Number, b.Number) })
 	slices.SortFunc(m.Once, func(a, b *peerpb.OnceRecord) int {
@@ -245,10 +253,29 @@
 		s.Rollouts[r.GetMove().GetService()] = RolloutFromPB(r)
 	}
 	s.Crashes = crashTableFromPB(m.GetCrashes())
+	for _, r := range spendingFromPB(m.GetSpending()) {
+		s.Spending[r.Account] = r
+	}
 	s.Rebuild()
 	return s, nil
 }
 
+func spendingToPB(records []quota.Record) []*peerpb.SpendingRecord {
+	var list []*peerpb.SpendingRecord
+	for i := range records {
+		list = append(list, &peerpb.SpendingRecord{Account: records[i].Account, At: int64(records[i].At), Spent: records[i].Spent})
+	}
+	return list
+}
+
+func spendingFromPB(list []*peerpb.SpendingRecord) []quota.Record {
+	var records []quota.Record
+	for _, m := range list {
+		records = append(records, quota.Record{Account: m.GetAccount(), At: clock.Instant(m.GetAt()), Spent: m.GetSpent()})
+	}
+	return records
+}
+
 // RolloutToPB returns the message for a rollout.
 func RolloutToPB(r *state.Rollout) *peerpb.RolloutRecord {
 	return &peerpb.RolloutRecord{Move: moveToPB(&r.Move), Withdrawn: r.Withdrawn}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,6 +9,7 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/quota"
 	_ "swiftbeam/internal/repro"
 	"swiftbeam/internal/state"
 	"swiftbeam/pkg/clock"
@@ -52,7 +53,7 @@
 func drawBody(t *rapid.T) state.Body {
 	drawText := func(name string) string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, name)) }
 	key := state.OnceKey{Account: "a", Route: "r", Key: drawText("key")}
-	switch rapid.IntRange(0, 10).Draw(t, "kind") {
+	switch rapid.IntRange(0, 11).Draw(t, "kind") {
 	case 0:
 		move := ""
 		if rapid.Bool().Draw(t, "moves") {
@@ -81,6 +82,10 @@
 		}}
 	case 9:
 		return state.RecordCrashes{At: clock.Instant(rapid.IntRange(0, 9000).Draw(t, "crashAt")), Evidence: drawEvidence(t)}
+	case 10:
+		return state.RecordSpending{Records: []quota.Record{{
+			Account: "a" + drawText("account"), At: clock.Instant(rapid.IntRange(0, 90_000).Draw(t, "recordAt")), Spent: []float64{1.5, 0, 7},
+		}}}
 	}
 	return state.EndOrder{Operation: drawText("order"), Fence: uint64(rapid.IntRange(0, 3).Draw(t, "fence")), Done: true}
 }
@@ -93,6 +98,7 @@
 		return crash.Evidence{
 			Successes: []crash.Success{{Trait: trait, SentAt: sentAt, At: sentAt + 100}},
 			Trials:    []crash.Trial{{Trait: trait, Daemon: "entry-1"}},
+			Survivors: []crash.Survivor{{Server: fmt.Sprint("i-", rapid.IntRange(0, 99).Draw(t, "survivor")), AnnouncedAt: sentAt + 900}},
 		}
 	}
 	return crash.Evidence{
