Crash: a server has survived its end only after two announcements

A server counts as up now at the time of an announcement that a later one follows, by half a second at least; a silent record sets no time. TestPreviousAnnouncement plays both; TestCutsAreNoEvidenceOfCrashes still passes.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -19,18 +19,18 @@
 	return crash.Traffic{PerSecond: m.rate(now, &m.sent), Completed: m.completed}
 }
 
-// announcedAt returns the time of the last announcement of a start of a server, by the clock that the daemons agree on. It
-// is zero if the start is not known, or if its start time is not, as another start cannot be told from it.
+// announcedAt returns a time at which a start of a server was up by its announcements, by the clock that the daemons agree
+// on. It is zero if the start is not known, or if its start time is not, as another start cannot be told from it.
 func (c *Core) announcedAt(_, startID string) clock.Instant {
 	now, clusterTime := c.clock.Now(), c.Follower.ClusterTime()
 	id, born := crash.SplitStartID(startID)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.table.ByID[id]
-	if r == nil || r.Born == 0 || int64(r.Born) != born || r.State >= enrol.Leaving {
+	if r == nil || r.Born == 0 || int64(r.Born) != born || r.State != enrol.Ready || r.PreviousAt == 0 {
 		return 0
 	}
-	return clusterTime.Add(r.HeardAt.Sub(now))
+	return clusterTime.Add(r.PreviousAt.Sub(now))
 }
 
 // crashChanges returns the changes of the traits of requests that crash servers since a revision.
--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -266,8 +266,8 @@
 	return false
 }
 
-// Survivors returns the servers with ends that have announced themselves since. AnnouncedAt returns the time of the
-// last announcement of a start of a server, zero if unknown.
+// Survivors returns the servers with ends that have announced themselves since. AnnouncedAt returns a time at which a
+// start of a server was up by its announcements, zero if there is none.
 func (t *Table) Survivors(announcedAt func(service, server string) clock.Instant) []Survivor {
 	found := make(map[string]clock.Instant)
 	check := func(service, server string, endedAt clock.Instant) {
--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -46,8 +46,10 @@
 	ReclaimAt clock.Instant
 	// ColdFor is the remaining time for which the server is slow after its start.
 	ColdFor clock.Duration
-	// HeardAt is the time of the last announcement.
-	HeardAt clock.Instant
+	// HeardAt is the time of the last announcement, PreviousAt that of one before it, by PreviousInterval at least. That
+	// shows that the server was up at PreviousAt: the last one alone may have been late.
+	HeardAt    clock.Instant
+	PreviousAt clock.Instant
 }
 
 // Limits of the table.
@@ -55,6 +57,9 @@
 	// SilentIntervals is the number of intervals without an announcement after which a server counts
 	// as silent. Announcements may be seconds late.
 	SilentIntervals = 4
+	// PreviousInterval is the least time between two announcements that show that a server is up. Announcements that
+	// waited for a daemon that was paused arrive together.
+	PreviousInterval = 500 * clock.Millisecond
 	// RecordRetention is the time for which a record is kept without announcements. It is longer
 	// than a partition can delay an announcement.
 	RecordRetention = 2 * clock.Minute
@@ -105,8 +110,17 @@
 	if old != nil && !newer(&r, old) {
 		return false
 	}
-	if old != nil && old.Born == r.Born && r.ReclaimAt == 0 {
-		r.ReclaimAt = old.ReclaimAt
+	if old != nil && old.Born == r.Born {
+		r.PreviousAt = old.PreviousAt
+		if r.State == Silent {
+			r.HeardAt = old.HeardAt
+		}
+		if r.Sequence > old.Sequence && r.HeardAt.Sub(old.HeardAt) >= PreviousInterval {
+			r.PreviousAt = old.HeardAt
+		}
+		if r.ReclaimAt == 0 {
+			r.ReclaimAt = old.ReclaimAt
+		}
 	}
 	if old != nil && r.Address == "" {
 		r.Address, r.Service, r.Zone, r.Version = old.Address, old.Service, old.Zone, old.Version
--- a/internal/enrol/enrol_test.go
+++ b/internal/enrol/enrol_test.go
@@ -53,6 +53,36 @@
 	}
 }
 
+// TestPreviousAnnouncement checks at which times announcements show that a server is up: neither a record that turned silent
+// does, nor announcements that arrive together, as they may have been late.
+func TestPreviousAnnouncement(t *testing.T) {
+	table := &Table{}
+	steps := []struct {
+		at       clock.Instant
+		sequence uint64
+		state    State
+		want     clock.Instant
+	}{
+		{1000, 1, Ready, 0}, {2200, 2, Ready, 1000}, {3400, 3, Ready, 2200},
+		{9000, 3, Silent, 2200},
+		{12_000, 4, Ready, 3400}, {12_010, 5, Ready, 3400}, {13_200, 6, Ready, 12_010},
+	}
+	for _, s := range steps {
+		r := ready("a", "x:1", 10, s.sequence)
+		r.State, r.HeardAt = s.state, s.at
+		table.Merge(r)
+		if got := table.ByID["a"].PreviousAt; got != s.want {
+			t.Errorf("announcement %d at %d: got previous %d, want %d", s.sequence, s.at, got, s.want)
+		}
+	}
+	next := ready("a", "x:1", 20, 1)
+	next.HeardAt = 14_400
+	table.Merge(next)
+	if got := table.ByID["a"].PreviousAt; got != 0 {
+		t.Errorf("previous announcement of the next start: got %d, want 0", got)
+	}
+}
+
 // TestStatefulMergeInAnyOrder merges the same records into two tables in different orders, one of
 // them twice. The same servers must be usable in both tables, and the same ones deregistered (Gone).
 func TestStatefulMergeInAnyOrder(t *testing.T) {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -69,7 +69,8 @@
 	Log   logr.Logger
 	// Dial opens connections to servers.
 	Dial dial.Func
-	// AnnouncedAt returns the time of the last announcement of a start of a server, which its ends name; zero if unknown.
+	// AnnouncedAt returns a time at which a start of a server, which its ends name, was up by its announcements; zero if
+	// there is none.
 	AnnouncedAt func(service, startID string) clock.Instant
 
 	recorder *Recorder
--- a/internal/guard/recorder.go
+++ b/internal/guard/recorder.go
@@ -33,7 +33,8 @@
 	Leads   func() bool
 	View    func(f func(*state.State))
 	Propose func(ctx context.Context, body state.Body) (state.Result, error)
-	// AnnouncedAt returns the time of the last announcement of a start of a server, which its ends name; zero if unknown.
+	// AnnouncedAt returns a time at which a start of a server, which its ends name, was up by its announcements; zero if
+	// there is none.
 	AnnouncedAt func(service, startID string) clock.Instant
 	// Traffic returns the traffic of a service as far as this daemon knows it; unknown values are zero.
 	Traffic func(service string) crash.Traffic
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -74,6 +74,10 @@
 	Recent map[Key]bool
 }
 
+// previousInterval is the least time between two announcements that show that a server is up. Announcements that waited
+// for a daemon that was paused arrive together.
+const previousInterval = 500 * clock.Millisecond
+
 // tombstoneLeases is how long a record is kept after the last contact, in leases, so that late gossip
 // does not restore an expired server.
 const tombstoneLeases = 12
@@ -119,6 +123,10 @@
 	if previous == fleet.Reclaimed && b.ReclaimAt == 0 {
 		b.ReclaimAt = old.ReclaimAt
 	}
+	b.PreviousAt = old.PreviousAt
+	if b.HeardAt.Sub(old.HeardAt) >= previousInterval {
+		b.PreviousAt = old.HeardAt
+	}
 	*old = b
 	switch {
 	case previous == fleet.Ready && b.State != fleet.Ready:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -276,17 +276,17 @@
 	return crash.StartID(g.Address, int64(g.server.Incarnation))
 }
 
-// AnnouncedAt returns the time of the last announcement of a start of a server that StartID identifies; zero if it is
-// not known.
+// AnnouncedAt returns a time at which a start of a server, which StartID identifies, was up by its announcements; zero if
+// there is none.
 func (r *Roster) AnnouncedAt(service, startID string) clock.Instant {
 	address, start := crash.SplitStartID(startID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.table.Backends[member.Key{Service: service, Address: address}]
-	if b == nil || int64(b.Incarnation) != start || b.State == fleet.Leaving || b.State == fleet.Reclaimed {
+	if b == nil || int64(b.Incarnation) != start || b.State != fleet.Ready {
 		return 0
 	}
-	return b.HeardAt
+	return b.PreviousAt
 }
 
 // Leaving reports whether the server has announced that it stops or that its VM is reclaimed.
