Detour: failures of a cut do not count for the next one, and a server that ended is no cut

Cause: connections that opened and broke in a cut stayed evidence for 8 s after it, unless a new connection got a response, and requests mostly use open connections. One server that had ended and refused a connection then cut the path again (four times in 5 s at entry-2). A server that crashes under a request over a new connection counted as the path's relapse, after which probes are 1 to 4 s apart (3 s at entry-2).

A path that is restored starts without failures. A server that refuses connections after the break is taken out of the failures, and of the relapses.

TestOneServerThatEndedAfterACutIsNotACut and TestServerThatCrashedOverANewConnectionIsNotACut failed before and pass.

--- a/internal/detour/path.go
+++ b/internal/detour/path.go
@@ -139,6 +139,16 @@
 	return true
 }
 
+// Ended records that a server refuses connections after one to it opened and broke. If it has ended, that shows nothing
+// of the path; if the path is cut, a probe does not succeed.
+func (p *Path) Ended(server string) {
+	n := len(p.failures)
+	p.failures = slices.DeleteFunc(p.failures, func(o Failure) bool { return o.Broke && o.Server == server })
+	if len(p.failures) < n && p.State == Cut {
+		p.probes, p.relapses = 0, max(p.relapses-1, 0)
+	}
+}
+
 // Opened records that a connection was opened. It reports whether State changed.
 func (p *Path) Opened(now clock.Instant) bool {
 	// A connection that opened and broke is not contradicted by one that opened.
@@ -154,6 +164,8 @@
 	} else {
 		p.enter(Returning, now)
 	}
+	// Another cut needs failures of its own.
+	p.failures = p.failures[:0]
 	return true
 }
 
--- a/internal/detour/path_test.go
+++ b/internal/detour/path_test.go
@@ -205,3 +205,51 @@
 		t.Errorf("probes in 20 s: got %d, want at most 9", probes)
 	}
 }
+
+// TestOneServerThatEndedAfterACutIsNotACut checks that failures of a cut count nothing once servers accept connections again:
+// a single server that has ended meanwhile must not cut the path again.
+func TestOneServerThatEndedAfterACutIsNotACut(t *testing.T) {
+	p := &Path{}
+	broke := failure("i-1", 1000, false)
+	broke.Broke = true
+	p.Failed(broke, 4)
+	p.Failed(failure("i-2", 1010, false), 4)
+	if got, want := p.State, Cut; got != want {
+		t.Fatalf("state after two failures: got %v, want %v", got, want)
+	}
+	p.Opened(3000)
+	p.Failed(failure("i-3", 3100, false), 4)
+	if got := p.State; got == Cut {
+		t.Errorf("state after the path was restored and one server refused a connection: got %v, want it open or returning", got)
+	}
+	p.Failed(failure("i-4", 3200, false), 4)
+	if got, want := p.State, Cut; got != want {
+		t.Errorf("state after a second server refused: got %v, want %v", got, want)
+	}
+}
+
+// TestServerThatCrashedOverANewConnectionIsNotACut checks that a connection whose server then refuses others proves nothing
+// but that the server has ended. Probes are not delayed.
+func TestServerThatCrashedOverANewConnectionIsNotACut(t *testing.T) {
+	p := &Path{}
+	p.Failed(failure("i-1", 1000, false), 4)
+	p.Failed(failure("i-2", 1010, false), 4)
+	p.ProbeDue(1020)
+	p.Opened(3000)
+	broke := failure("i-3", 3400, false)
+	broke.Broke = true
+	p.Failed(broke, 4)
+	if got, want := p.State, Cut; got != want {
+		t.Fatalf("state after a connection opened and broke: got %v, want %v", got, want)
+	}
+	p.ProbeDue(3405)
+	p.Ended("i-3")
+	if !p.ProbeDue(3410) {
+		t.Error("got no probe once the server is known to have ended, want one at once")
+	}
+	p.Opened(3420)
+	p.Failed(failure("i-4", 3500, false), 4)
+	if got := p.State; got == Cut {
+		t.Errorf("state after one more server refused: got %v, want it open or returning", got)
+	}
+}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -178,6 +178,9 @@
 	refuses, _ := p.Pool.Probe(ctx, server.Address)
 	p.mu.Lock()
 	end, ended := p.crashes.Checked(startID(server), refuses)
+	if refuses {
+		p.serviceState(service).Path.Ended(server.Address)
+	}
 	p.mu.Unlock()
 	if !ended {
 		return
