--- a/internal/detour/helpers.go
+++ b/internal/detour/helpers.go
@@ -31,8 +31,10 @@
 	NoServer
 	// NoRoom: the helper does not take the request. It was not sent.
 	NoRoom
-	// Failed: the helper was not reached, or sent no valid response.
+	// Failed: the helper was not reached, does not respond, or sent no valid response.
 	Failed
+	// Lost: the connection to the helper ended before its response. The helper may have ended, or only the request.
+	Lost
 )
 
 const (
--- a/internal/detour/outcome_string.go
+++ b/internal/detour/outcome_string.go
@@ -14,11 +14,12 @@
 	_ = x[NoServer-3]
 	_ = x[NoRoom-4]
 	_ = x[Failed-5]
+	_ = x[Lost-6]
 }
 
-const _Outcome_name = "AnsweredBrokenUnreachedNoServerNoRoomFailed"
+const _Outcome_name = "AnsweredBrokenUnreachedNoServerNoRoomFailedLost"
 
-var _Outcome_index = [...]uint8{0, 8, 14, 23, 31, 37, 43}
+var _Outcome_index = [...]uint8{0, 8, 14, 23, 31, 37, 43, 47}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -332,11 +333,13 @@
 	now := p.Clock.Now()
 	service := p.serviceState(x.service)
 	p.helpers.Done(now, helper.Name, outcome)
-	switch {
-	case outcome != detour.Answered && outcome != detour.Broken:
+	switch outcome {
+	case detour.Answered, detour.Broken, detour.Lost:
+		if result == retry.Incomplete {
+			x.brokenHelpers = append(x.brokenHelpers, helper.Name)
+		}
+	default:
 		x.triedHelpers = append(x.triedHelpers, helper.Name)
-	case result == retry.Incomplete:
-		x.brokenHelpers = append(x.brokenHelpers, helper.Name)
 	}
 	switch outcome {
 	case detour.Unreached:
@@ -387,12 +390,12 @@
 	}
 	if x.route.Repeatable() {
 		if err := conn.AwaitInterim(x.r.Method, helperResponseTimeout); err != nil {
-			return a.failedAround(ctx, "the helper does not respond", err), detour.Failed
+			return a.failedAround(ctx, "the helper does not respond", err), outcomeOf(err)
 		}
 	}
 	response, err := conn.Receive(x.r.Method, func(http.Header) bool { return true })
 	if err != nil {
-		return a.failedAround(ctx, "no answer of the helper", err), detour.Failed
+		return a.failedAround(ctx, "no answer of the helper", err), outcomeOf(err)
 	}
 	defer response.Body.Close()
 	p.mu.Lock()
@@ -407,6 +410,15 @@
 	return a.handleHop(ctx, &hop, response), hop.Outcome
 }
 
+// outcomeOf returns the outcome for an error of a connection to a helper that was open before. A helper that has ended
+// refuses the next one.
+func outcomeOf(err error) detour.Outcome {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) {
+		return detour.Lost
+	}
+	return detour.Failed
+}
+
 // handleHop acts on the outcome at the helper.
 func (a *attempt) handleHop(ctx context.Context, hop *hops.Response, response *http.Response) retry.Result {
 	x := a.exchange
--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -139,21 +139,18 @@
 	x.w.WriteHeader(x.status)
 }
 
-// passOn sends the response of a server to the other daemon as it arrives.
+// passOn sends the response of a server to the other daemon as it arrives. If the server breaks off before the first byte
+// of the body, nothing is sent, so that the other daemon learns that it was the server.
 func (a *attempt) passOn(ctx context.Context, server *place.Server, r *http.Response, result retry.Result) retry.Result {
 	x := a.exchange
-	x.copyHeader(r.Header)
-	hop := hops.Response{Outcome: detour.Answered, Server: server.ID, Version: server.Version, Wait: clock.Duration(a.choice.Wait), Cached: a.choice.Cached}
-	x.w.Header().Set(hops.Header, hop.Encode())
-	if r.ContentLength >= 0 {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
-	}
-	x.status, x.responseStarted = r.StatusCode, true
-	x.w.WriteHeader(r.StatusCode)
 	flusher := http.NewResponseController(x.w)
 	b := make([]byte, passBufferBytes)
 	for {
 		n, err := r.Body.Read(b)
+		ended := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
+		if !x.responseStarted && (n > 0 || ended) {
+			a.startPassing(server, r)
+		}
 		if n > 0 {
 			if a.firstResponseAt == 0 {
 				a.recordFirstResponse()
@@ -166,7 +163,7 @@
 				return a.failed(ctx, server, "other daemon's connection", err)
 			}
 		}
-		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if ended {
 			a.complete = true
 			return result
 		}
@@ -176,3 +173,16 @@
 		}
 	}
 }
+
+// startPassing writes the head of the response.
+func (a *attempt) startPassing(server *place.Server, r *http.Response) {
+	x := a.exchange
+	x.copyHeader(r.Header)
+	hop := hops.Response{Outcome: detour.Answered, Server: server.ID, Version: server.Version, Wait: clock.Duration(a.choice.Wait), Cached: a.choice.Cached}
+	x.w.Header().Set(hops.Header, hop.Encode())
+	if r.ContentLength >= 0 {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	x.status, x.responseStarted = r.StatusCode, true
+	x.w.WriteHeader(r.StatusCode)
+}
