Proxy: one file for each job

The choice of a server, the notices of servers, the life of a request and the types of the dialect have files of their own now.

--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -338,7 +338,6 @@
 	}
 	for _, r := range w.table.Records {
 		if r.Blocked() {
-
 			w.blocked[r.Name] = true
 		}
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -14,8 +13,6 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
-	"swiftbeam/internal/frail"
-	"swiftbeam/internal/notice"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
@@ -165,33 +162,6 @@
 	}
 }
 
-// returnSpread is the fraction of a waiting time over which callers are spread, so that those that were
-// refused together do not return together.
-const returnSpread = 0.25
-
-// untilServer returns the time until a server takes requests again. It reports false if there is another
-// reason than pauses and limits of the servers for which none was chosen.
-func (x *exchange) untilServer() (clock.Duration, bool) {
-	p := x.proxy
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now, clusterTime := p.Clock.Now(), p.ClusterTime()
-	shortest, found := clock.Duration(0), false
-	for _, s := range p.serviceState(x.service).Servers {
-		wait, takes := p.notices.Wait(now, clusterTime, noticeServer(s))
-		if !takes || x.allowVersion != nil && !x.allowVersion(s.Version) {
-			continue
-		}
-		if wait <= 0 {
-			return 0, false
-		}
-		if !found || wait < shortest {
-			shortest, found = wait, true
-		}
-	}
-	return shortest, found
-}
-
 // mayRetry checks the time, the attempts of the route, the traits of the request and the retry budget. After an attempt of which no
 // byte was sent it checks neither the route's attempts nor the budget; after a Moved one, only the budget.
 func (x *exchange) mayRetry(a retry.Attempt) bool {
@@ -214,74 +184,6 @@
 	return p.serviceState(x.service).Budget.Take(now)
 }
 
-// maxServersTried is the number of tried servers above which a request gives up, even when none of
-// them could be reached.
-const maxServersTried = 4
-
-// chooseServer chooses the version and the backend server for the next attempt.
-func (x *exchange) chooseServer() place.Choice {
-	p := x.proxy
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	service := p.serviceState(x.service)
-	x.pickVersion(service)
-	choice := x.chooseOf(service)
-	if choice.Server == nil && x.allowFallback(service.Rollout) {
-		choice = x.chooseOf(service)
-	}
-	return choice
-}
-
-// maxBrittleTried is the number of brittle servers without room for a request after which it is refused.
-const maxBrittleTried = 4
-
-// chooseOf chooses a server of a service that takes the request now. The caller holds the lock.
-func (x *exchange) chooseOf(service *ServiceState) place.Choice {
-	p := x.proxy
-	x.noRoom = false
-	q := x.query()
-	for range maxBrittleTried {
-		choice := service.Choose(q)
-		if choice.Server == nil {
-			return choice
-		}
-		if !p.notices.Limits.IsBrittle(choice.Server.ID) || p.notices.Gate.Allows(x.brittleQuery(service, choice.Server)) {
-			p.notices.Limits.Take(p.ClusterTime(), choice.Server.ID)
-			return choice
-		}
-		x.noRoom = true
-		q.Avoid = append(slices.Clip(q.Avoid), choice.Server.ID)
-	}
-	return place.Choice{}
-}
-
-// brittleQuery describes the request at a brittle server.
-func (x *exchange) brittleQuery(service *ServiceState, s *place.Server) frail.Query {
-	p := x.proxy
-	now := p.Clock.Now()
-	q := frail.Query{
-		Now: now, Server: s.ID, Service: service.Name, Servers: len(service.Servers), Slots: s.Slots, Own: s.Local.Requests, Load: s.Local.Requests + s.Remote.Requests,
-		Daemons: p.limiter.Entries, Rank: p.notices.Limits.Rank(), Requests: service.Budget.PerSecond(now), Hold: clock.Duration(service.Costs.ServiceTime),
-		Urgency: x.baseUrgency(), Draw: rand.Float64(),
-	}
-	if s.Born > 0 {
-		q.Since = now.Add(s.Born.Sub(p.ClusterTime()))
-	}
-	return q
-}
-
-func (x *exchange) query() *place.Query {
-	p := x.proxy
-	now, clusterTime := p.Clock.Now(), p.ClusterTime()
-	return &place.Query{
-		Now: now, Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
-		Avoid: x.tried, Versions: x.allowVersion, Draw: rand.Uint64(),
-		Blocked: func(s *place.Server) bool {
-			return p.notices.Excludes(now, clusterTime, noticeServer(s)) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
-		},
-	}
-}
-
 // run makes the attempt and passes the events of a stream to the caller as they arrive.
 func (a *attempt) run(ctx context.Context) retry.Result {
 	x, p := a.exchange, a.proxy
@@ -618,36 +520,6 @@
 	}
 }
 
-// noticeServer returns the start of a server as package notice identifies it.
-func noticeServer(s *place.Server) notice.Server { return notice.Server{ID: s.ID, Born: s.Born} }
-
-// observeNotices records what the server says of itself. What it asks of the daemon that sent the request does
-// not concern this one if that was a helper.
-func (a *attempt) observeNotices(server *place.Server, info ResponseInfo) {
-	said := notice.Said{Leaving: info.Leaving}
-	if a.helper == nil {
-		said = notice.Said{
-			Answered: info.Signed, Leaving: info.Leaving, Rest: info.RetryAfter, Limited: info.Limited, PerSecond: info.Limit,
-			Brittle: info.Brittle, Tolerated: info.Tolerated, NoRoom: info.NotRun,
-		}
-	}
-	p := a.proxy
-	p.mu.Lock()
-	change := p.notices.Observe(p.Clock.Now(), p.ClusterTime(), noticeServer(server), said)
-	p.mu.Unlock()
-	if change.Left {
-		p.Log.Info("backend server leaves, by its answer", "id", a.request.ID, "server", server.ID, "address", server.Address)
-		p.Pool.CloseIdle(server.Address)
-	}
-	if change.Rests {
-		p.Log.Info("backend server wants no requests", "id", a.request.ID, "server", server.ID, "forMs", int64(info.RetryAfter))
-	}
-	if change.Limits {
-		p.Log.Info("backend server limit", "id", a.request.ID, "server", server.ID, "limited", info.Limited, "perSecond", info.Limit,
-			"brittle", info.Brittle, "tolerated", info.Tolerated)
-	}
-}
-
 // recordFirstResponse records the time of the first event or response.
 func (a *attempt) recordFirstResponse() {
 	x, p := a.exchange, a.proxy
