Caller: a client without addresses returns an error

It returns ErrNoAddress now; nothing was sent. TestClientWithoutAddressesReturnsAnError panicked before.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -82,7 +82,15 @@
 	return 8
 }
 
-func (c *Client) address() string { return c.Addresses[rand.IntN(len(c.Addresses))] }
+// ErrNoAddress is returned without Addresses. Nothing was sent.
+var ErrNoAddress = errors.New("no address of a daemon is known; set Addresses")
+
+func (c *Client) address() (string, error) {
+	if len(c.Addresses) == 0 {
+		return "", ErrNoAddress
+	}
+	return c.Addresses[rand.IntN(len(c.Addresses))], nil
+}
 
 func (c *Client) client() *http.Client {
 	if c.HTTP != nil {
@@ -169,7 +177,11 @@
 		s.answer.Resumes++
 		method, path, content = http.MethodGet, "/v1/requests/"+s.answer.RequestID, nil
 	}
-	q, err := http.NewRequestWithContext(ctx, method, s.client.address()+path, content)
+	address, err := s.client.address()
+	if err != nil {
+		return nil, err
+	}
+	q, err := http.NewRequestWithContext(ctx, method, address+path, content)
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
@@ -275,7 +287,11 @@
 }
 
 func (c *Client) callAttempt(ctx context.Context, path, key string, body []byte) (Reply, error) {
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address()+path, bytes.NewReader(body))
+	address, err := c.address()
+	if err != nil {
+		return Reply{}, err
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, address+path, bytes.NewReader(body))
 	if err != nil {
 		return Reply{}, errors.Wrap(err, "build request")
 	}
