--- a/internal/crash/table.go
+++ b/internal/crash/table.go
@@ -297,7 +297,7 @@
 	return list
 }
 
-// addSurvivor takes back the ends of a server, and what follows from them.
+// addSurvivor removes the ends of a server, and the records that rest on them.
 func (t *Table) addSurvivor(s Survivor) {
 	for i := range t.Ends {
 		if t.Ends[i].SurvivedAt == 0 && s.contradicts(t.Ends[i].Server, t.Ends[i].At) {
