--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -13,6 +13,8 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"swiftbeam/pkg/clock"
 )
 
@@ -74,3 +76,9 @@
 		}
 	}
 }
+
+// IsTimeout reports whether a connection could not be opened because the other VM did not respond.
+func IsTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -485,12 +484,6 @@
 	return x.head(h)
 }
 
-// isTimeout reports whether a connection could not be opened because the other VM did not respond.
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
 // observeEvidence records evidence on the version of the server; at a helper, which does not decide on
 // versions, it records none. The caller holds the lock.
 func (a *attempt) observeEvidence(service *ServiceState, o moves.Observation) {
--- a/internal/proxy/around_test.go
+++ b/internal/proxy/around_test.go
@@ -37,13 +37,13 @@
 			defer conn.Close()
 			continue
 		}
-		if !isTimeout(err) {
+		if !dial.IsTimeout(err) {
 			t.Errorf("VM that does not respond: got error %v, want a timeout", err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 		_, err = open.DialContext(ctx, "tcp4", silent.String())
 		cancel()
-		if !isTimeout(err) {
+		if !dial.IsTimeout(err) {
 			t.Errorf("VM that does not respond, with a shorter limit: got error %v, want a timeout", err)
 		}
 	}
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	_ = l.Close()
-	if _, err := open.DialContext(t.Context(), "tcp4", l.Addr().String()); err == nil || isTimeout(err) {
+	if _, err := open.DialContext(t.Context(), "tcp4", l.Addr().String()); err == nil || dial.IsTimeout(err) {
 		t.Errorf("VM that refuses: got error %v, want another one than a timeout", err)
 	}
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -13,6 +13,7 @@
 
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
+	"swiftbeam/internal/dial"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/pool"
 	"swiftbeam/internal/retry"
@@ -315,7 +316,7 @@
 	p.mu.Unlock()
 	p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
 		"error", err.Error(), "tookMs", int64(now.Sub(startedAt)), "ejectedMs", int64(ejected), "serviceTimeMs", int(serviceTime))
-	p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: startedAt, At: now, Silent: isTimeout(err)})
+	p.observeFailure(x.service, detour.Failure{Server: server.Address, StartedAt: startedAt, At: now, Silent: dial.IsTimeout(err)})
 	return nil, err
 }
 
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -105,7 +105,7 @@
 			}
 			return conn, nil
 		}
-		if ctx.Err() != nil || !d.failed(service, servers, detour.Failure{Server: address, StartedAt: now, At: d.Clock.Now(), Silent: isTimeout(err)}) {
+		if ctx.Err() != nil || !d.failed(service, servers, detour.Failure{Server: address, StartedAt: now, At: d.Clock.Now(), Silent: dial.IsTimeout(err)}) {
 			return nil, err
 		}
 	case detour.Nowhere:
@@ -245,8 +245,3 @@
 	}
 	return nil, detour.Failed, errors.CombineErrors(errors.Newf("status %d", response.StatusCode), conn.Close())
 }
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
