Crash: one rule for which announcements show that a server is up

enrol and member each had the interval and the comparison. crash.UpAt has both, next to Survivor, which needs them; the field is UpAt, which says what it holds. No behaviour changes.

--- a/internal/core/crash.go
+++ b/internal/core/crash.go
@@ -27,10 +27,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.table.ByID[id]
-	if r == nil || r.Born == 0 || int64(r.Born) != born || r.State != enrol.Ready || r.PreviousAt == 0 {
+	if r == nil || r.Born == 0 || int64(r.Born) != born || r.State != enrol.Ready || r.UpAt == 0 {
 		return 0
 	}
-	return clusterTime.Add(r.PreviousAt.Sub(now))
+	return clusterTime.Add(r.UpAt.Sub(now))
 }
 
 // crashChanges returns the changes of the traits of requests that crash servers since a revision.
--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -145,6 +145,19 @@
 	AnnouncedAt clock.Instant
 }
 
+// minAnnouncementGap is the least time between two announcements that show that a server is up. Announcements that waited
+// for a daemon that was paused arrive together.
+const minAnnouncementGap = 500 * clock.Millisecond
+
+// UpAt returns the time at which a server is known to have been up when an announcement arrives at a time: that of the
+// last one before it, or the time known so far. A single announcement may be late.
+func UpAt(known, last, at clock.Instant) clock.Instant {
+	if at.Sub(last) >= minAnnouncementGap {
+		return last
+	}
+	return known
+}
+
 // Traffic is what is known of the requests to the servers of a service.
 type Traffic struct {
 	Service string
--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -11,7 +11,10 @@
 // not add the server again.
 package enrol
 
-import "swiftbeam/pkg/clock"
+import (
+	"swiftbeam/internal/crash"
+	"swiftbeam/pkg/clock"
+)
 
 //go:generate ../../.tools/stringer -type=State -output=state_string.go
 
@@ -46,10 +49,10 @@
 	ReclaimAt clock.Instant
 	// ColdFor is the remaining time for which the server is slow after its start.
 	ColdFor clock.Duration
-	// HeardAt is the time of the last announcement, PreviousAt that of one before it, by PreviousInterval at least. That
-	// shows that the server was up at PreviousAt: the last one alone may have been late.
-	HeardAt    clock.Instant
-	PreviousAt clock.Instant
+	// HeardAt is the time of the last announcement, UpAt that of an earlier one, at which the server was up: the last one
+	// alone may have been late.
+	HeardAt clock.Instant
+	UpAt    clock.Instant
 }
 
 // Limits of the table.
@@ -57,9 +60,6 @@
 	// SilentIntervals is the number of intervals without an announcement after which a server counts
 	// as silent. Announcements may be seconds late.
 	SilentIntervals = 4
-	// PreviousInterval is the least time between two announcements that show that a server is up. Announcements that
-	// waited for a daemon that was paused arrive together.
-	PreviousInterval = 500 * clock.Millisecond
 	// RecordRetention is the time for which a record is kept without announcements. It is longer
 	// than a partition can delay an announcement.
 	RecordRetention = 2 * clock.Minute
@@ -111,12 +111,12 @@
 		return false
 	}
 	if old != nil && old.Born == r.Born {
-		r.PreviousAt = old.PreviousAt
+		r.UpAt = old.UpAt
 		if r.State == Silent {
 			r.HeardAt = old.HeardAt
 		}
-		if r.Sequence > old.Sequence && r.HeardAt.Sub(old.HeardAt) >= PreviousInterval {
-			r.PreviousAt = old.HeardAt
+		if r.Sequence > old.Sequence {
+			r.UpAt = crash.UpAt(old.UpAt, old.HeardAt, r.HeardAt)
 		}
 		if r.ReclaimAt == 0 {
 			r.ReclaimAt = old.ReclaimAt
--- a/internal/enrol/enrol_test.go
+++ b/internal/enrol/enrol_test.go
@@ -71,14 +71,14 @@
 		r := ready("a", "x:1", 10, s.sequence)
 		r.State, r.HeardAt = s.state, s.at
 		table.Merge(r)
-		if got := table.ByID["a"].PreviousAt; got != s.want {
+		if got := table.ByID["a"].UpAt; got != s.want {
 			t.Errorf("announcement %d at %d: got previous %d, want %d", s.sequence, s.at, got, s.want)
 		}
 	}
 	next := ready("a", "x:1", 20, 1)
 	next.HeardAt = 14_400
 	table.Merge(next)
-	if got := table.ByID["a"].PreviousAt; got != 0 {
+	if got := table.ByID["a"].UpAt; got != 0 {
 		t.Errorf("previous announcement of the next start: got %d, want 0", got)
 	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"slices"
 
+	"swiftbeam/internal/crash"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
 )
@@ -74,10 +75,6 @@
 	Recent map[Key]bool
 }
 
-// previousInterval is the least time between two announcements that show that a server is up. Announcements that waited
-// for a daemon that was paused arrive together.
-const previousInterval = 500 * clock.Millisecond
-
 // tombstoneLeases is how long a record is kept after the last contact, in leases, so that late gossip
 // does not restore an expired server.
 const tombstoneLeases = 12
@@ -123,10 +120,7 @@
 	if previous == fleet.Reclaimed && b.ReclaimAt == 0 {
 		b.ReclaimAt = old.ReclaimAt
 	}
-	b.PreviousAt = old.PreviousAt
-	if b.HeardAt.Sub(old.HeardAt) >= previousInterval {
-		b.PreviousAt = old.HeardAt
-	}
+	b.UpAt = crash.UpAt(old.UpAt, old.HeardAt, b.HeardAt)
 	*old = b
 	switch {
 	case previous == fleet.Ready && b.State != fleet.Ready:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -286,7 +286,7 @@
 	if b == nil || int64(b.Incarnation) != start || b.State != fleet.Ready {
 		return 0
 	}
-	return b.PreviousAt
+	return b.UpAt
 }
 
 // Leaving reports whether the server has announced that it stops or that its VM is reclaimed.
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -30,7 +30,7 @@
 
 // Backend is one incarnation of a backend server. A server that restarts at the same address has a higher
 // Incarnation and counts as a new server. Sequence orders the announcements of an incarnation, and
-// HeardAt is the time of the last one, PreviousAt that of an earlier one, which shows that the server was up then.
+// HeardAt is the time of the last one, UpAt that of an earlier one, at which the server was up.
 type Backend struct {
 	Service      string
 	Version      string
@@ -45,7 +45,7 @@
 	Slots        int
 	ReclaimAt    clock.Instant
 	HeardAt      clock.Instant
-	PreviousAt   clock.Instant
+	UpAt         clock.Instant
 	ChecksFence  bool
 	MachineClass string
 	Reclaimable  bool
