--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -144,7 +144,6 @@
 
 // count records what a run reports about its part.
 func (al *Allocator) count(now clock.Instant, t *totals, h *holding, u *Use, sinceRestart clock.Duration) {
-	t.recent.Span = al.Bounds.Window
 	spent := u.Total - h.total
 	if h.recent == nil && u.Spent > 0 {
 		h.recent = &window.Sliding{Span: al.Bounds.Window}
@@ -174,7 +173,6 @@
 		}
 	}
 	daemons := max(al.ExpectedDaemons, t.holders, 1)
-	t.ended.Span = al.Bounds.Window
 	ended := t.ended.Sum(now) + past
 	remaining := limit - ended - t.counted - al.unreported(now, t, limit)
 	// Leases of other daemons are reserved: they may use them while this daemon uses its grants.
@@ -253,7 +251,7 @@
 func (al *Allocator) total(account string) *totals {
 	t := al.totals[account]
 	if t == nil {
-		t = &totals{}
+		t = &totals{ended: window.Sliding{Span: al.Bounds.Window}, recent: window.Sliding{Span: al.Bounds.Window}}
 		if al.totals == nil {
 			al.totals = make(map[string]*totals)
 		}
@@ -323,12 +321,10 @@
 func (al *Allocator) end(now clock.Instant, r *run) {
 	for account, h := range r.holdings {
 		t := al.total(account)
-		t.ended.Span = al.Bounds.Window
 		if h.recent != nil {
 			t.ended.Merge(now, h.recent)
 		}
 		t.ended.Add(now, h.unspent)
-		t.recent.Span = al.Bounds.Window
 		t.recent.Add(now, h.unspent)
 	}
 	al.drop(r)
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -46,7 +46,6 @@
 		if a == nil || a.Rate <= 0 {
 			continue
 		}
-		t.ended.Span, t.recent.Span = al.Bounds.Window, al.Bounds.Window
 		limit, unspent := Limit(al.Bounds, a), max(t.counted-t.spent, 0)
 		if t.unrecorded+max(unspent-t.recordedUnspent, 0) < recordStep*limit || t.counted+t.ended.Sum(now) < recordFrom*limit {
 			continue
