Review, case 2: longer streams, so that more of them break

With streams of 7 s in place of 3.4 s, a crash of one server breaks more of them, and the case does not depend on a few. One server crashes each 5 s, for 4.5 s.

--- a/review/_tools/lab/resume.go
+++ b/review/_tools/lab/resume.go
@@ -16,7 +16,7 @@
 	greyFailures  = 0.45
 	crashTime     = 4500 * time.Millisecond
 	crashInterval = 5 * time.Second
-	resumeTime    = 92 * time.Second
+	resumeTime    = 86 * time.Second
 	// draftEvents is the number of events of a draft.
 	draftEvents = 76
 )
@@ -27,7 +27,7 @@
 		run  caseFunc
 	}{
 		plan: plan{cores: 5, entries: 7, services: []servicePlan{{
-			name: "luthier-model", servers: 9, slots: 64, engine: true, events: draftEvents, eventTime: 45 * time.Millisecond,
+			name: "luthier-model", servers: 9, slots: 64, engine: true, events: draftEvents, eventTime: 90 * time.Millisecond,
 			routes: []routePlan{{name: "dossier-draft", prefix: "/draft/", kind: "streaming", timeout: 15000, attempts: 2, sticky: true, resumable: true}},
 		}}},
 		run: runResume,
