Review, case 3: heartbeats 4 s late

With 3.2 s, two heartbeats of a server that has ended did not always arrive in time to hide its end, and the request was blocked late in some runs.

--- a/review/_tools/lab/deadly.go
+++ b/review/_tools/lab/deadly.go
@@ -34,7 +34,7 @@
 	for name, c := range map[string]deadlyCase{
 		"deadly-copies":  {copies: 3, interval: 6 * time.Second},
 		"deadly-brittle": {copies: 1, interval: 2 * time.Second, brittle: 20},
-		"deadly-late":    {copies: 1, interval: 2 * time.Second, lateBeats: 3200 * time.Millisecond},
+		"deadly-late":    {copies: 1, interval: 2 * time.Second, lateBeats: 4 * time.Second},
 		"deadly-plain":   {copies: 1, interval: 2 * time.Second},
 	} {
 		cases[name] = struct {
