--- a/review/_tools/lab/deployment.go
+++ b/review/_tools/lab/deployment.go
@@ -86,6 +86,8 @@
 	cloud      *cloud
 
 	behaviour atomic.Pointer[behaviour]
+	// brittle is what the servers say in Server-Brittle in all their answers; zero for nothing.
+	brittle atomic.Int64
 	// beatDelay is how late heartbeats arrive, in nanoseconds.
 	beatDelay atomic.Int64
 }
--- a/review/_tools/lab/server.go
+++ b/review/_tools/lab/server.go
@@ -188,6 +188,9 @@
 	h["Date"] = nil
 	h.Set("Attempt-Id", id)
 	h.Set("Keep-Alive", "timeout=10")
+	if n := s.d.brittle.Load(); n > 0 {
+		h.Set("Server-Brittle", strconv.FormatInt(n, 10))
+	}
 	if r.URL.Path == "/healthz" {
 		h.Set("Replica-Id", s.id)
 		return
