Disk: file calls that tests can replace

The reports of full disks need a disk that fails at any call, also while a folder is opened again. disk.Files holds the calls that change files; it takes the place of Log.SyncFile, which tests could set only after Open. No behaviour changes; the assertions of the tests that used SyncFile are as before, and a stalled sync now holds Open up, too.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -147,18 +147,12 @@
 func (g *cluster) start(i int) {
 	g.t.Helper()
 	stalled := &g.stalled[i]
-	c, err := New(g.settings[i], Options{Log: g.log, Decode: decode, Cloud: g.cloud, Dial: g.links.dialer(g.settings[i].Peers), OpenDisk: func(folder string) (*disk.Log, disk.Loaded, error) {
-		log, loaded, err := disk.Open(folder)
-		if err == nil {
-			log.SyncFile = func(f *os.File) error {
-				if blocked := stalled.Load(); blocked != nil {
-					<-*blocked
-				}
-				return f.Sync()
-			}
+	c, err := New(g.settings[i], Options{Log: g.log, Decode: decode, Cloud: g.cloud, Dial: g.links.dialer(g.settings[i].Peers), OpenDisk: disk.Files{Sync: func(f *os.File) error {
+		if blocked := stalled.Load(); blocked != nil {
+			<-*blocked
 		}
-		return log, loaded, err
-	}})
+		return f.Sync()
+	}}.Open})
 	if err != nil {
 		g.t.Fatal(err)
 	}
--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -53,26 +53,56 @@
 	TruncatedBytes int64
 }
 
+// Files are the calls that change files. A nil field stands for the call of package os; tests replace it by one that fails.
+type Files struct {
+	OpenFile func(name string, flag int, perm os.FileMode) (*os.File, error)
+	Write    func(f *os.File, data []byte) (int, error)
+	Truncate func(f *os.File, size int64) error
+	Sync     func(f *os.File) error
+	Rename   func(from, to string) error
+}
+
+func (f Files) withDefaults() Files {
+	if f.OpenFile == nil {
+		f.OpenFile = os.OpenFile
+	}
+	if f.Write == nil {
+		f.Write = (*os.File).Write
+	}
+	if f.Truncate == nil {
+		f.Truncate = (*os.File).Truncate
+	}
+	if f.Sync == nil {
+		f.Sync = (*os.File).Sync
+	}
+	if f.Rename == nil {
+		f.Rename = os.Rename
+	}
+	return f
+}
+
 // Log writes to a data folder. It is not safe for concurrent use.
 type Log struct {
-	// SyncFile replaces os.File.Sync if it is not nil.
-	SyncFile func(*os.File) error
 	// Bytes is the number of bytes written.
 	Bytes int64
 
 	folder string
+	files  Files
 	file   *os.File
 	buffer []byte
 	failed error
 }
 
 // Open reads the data folder. It creates the folder if it does not exist.
-func Open(folder string) (*Log, Loaded, error) {
+func Open(folder string) (*Log, Loaded, error) { return Files{}.Open(folder) }
+
+// Open is the function Open with these calls.
+func (f Files) Open(folder string) (*Log, Loaded, error) {
 	var loaded Loaded
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, loaded, errors.Wrapf(err, "create data folder %s", folder)
 	}
-	l := &Log{folder: folder}
+	l := &Log{folder: folder, files: f.withDefaults()}
 	if err := l.load(&loaded); err != nil {
 		return nil, loaded, err
 	}
@@ -147,18 +177,18 @@
 		return fault.New(fault.Damaged, "data folder %s has entries from %d on, but the state only up to %d", l.folder, loaded.Entries[0].Index, loaded.Snapshot.Index).
 			Remedy("keep a copy of the data folder, then empty it; the daemon joins as a new member, and the quorum replaces the old one")
 	}
-	l.file, err = os.OpenFile(l.path(logName), os.O_RDWR|os.O_CREATE, 0o600)
+	l.file, err = l.files.OpenFile(l.path(logName), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "open log")
 	}
 	loaded.TruncatedBytes = int64(len(data) - valid)
-	if err := l.file.Truncate(int64(valid)); err != nil {
+	if err := l.files.Truncate(l.file, int64(valid)); err != nil {
 		return errors.Wrap(err, "truncate incomplete record")
 	}
 	if _, err := l.file.Seek(int64(valid), 0); err != nil {
 		return errors.Wrap(err, "seek log")
 	}
-	if err := l.sync(l.file); err != nil {
+	if err := l.files.Sync(l.file); err != nil {
 		return errors.Wrap(err, "sync log")
 	}
 	return l.syncFolder()
@@ -259,11 +289,11 @@
 	if l.failed != nil || len(l.buffer) == 0 {
 		return l.failed
 	}
-	n, err := l.file.Write(l.buffer)
+	n, err := l.files.Write(l.file, l.buffer)
 	l.Bytes += int64(n)
 	l.buffer = l.buffer[:0]
 	if err == nil {
-		err = l.sync(l.file)
+		err = l.files.Sync(l.file)
 	}
 	return l.setFailed(err)
 }
@@ -294,7 +324,7 @@
 		return err
 	}
 	var err error
-	l.file, err = os.OpenFile(l.path(logName), os.O_RDWR|os.O_APPEND, 0o600)
+	l.file, err = l.files.OpenFile(l.path(logName), os.O_RDWR|os.O_APPEND, 0o600)
 	return err
 }
 
@@ -313,14 +343,14 @@
 // new content.
 func (l *Log) replaceFile(name string, data []byte) error {
 	temp := l.path(name + ".tmp")
-	f, err := os.OpenFile(temp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := l.files.OpenFile(temp, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "create file")
 	}
-	n, err := f.Write(data)
+	n, err := l.files.Write(f, data)
 	l.Bytes += int64(n)
 	if err == nil {
-		err = l.sync(f)
+		err = l.files.Sync(f)
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
@@ -328,7 +358,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "write %s", temp)
 	}
-	if err := os.Rename(temp, l.path(name)); err != nil {
+	if err := l.files.Rename(temp, l.path(name)); err != nil {
 		return errors.Wrap(err, "rename")
 	}
 	return l.syncFolder()
@@ -339,16 +369,9 @@
 	if err != nil {
 		return errors.Wrap(err, "open data folder")
 	}
-	err = l.sync(f)
+	err = l.files.Sync(f)
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
 	return errors.Wrap(err, "sync data folder")
 }
-
-func (l *Log) sync(f *os.File) error {
-	if l.SyncFile != nil {
-		return l.SyncFile(f)
-	}
-	return f.Sync()
-}
--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -116,13 +116,13 @@
 
 func TestLogIsUnusableAfterFailedSync(t *testing.T) {
 	l, _ := open(t, t.TempDir())
-	l.SyncFile = func(*os.File) error { return errors.New("no space left on device") }
+	l.files.Sync = func(*os.File) error { return errors.New("no space left on device") }
 	l.Append([]quorum.Entry{entry(1)})
 	first := l.Sync()
 	if got, want := fault.KindOf(first), fault.Damaged; got != want {
 		t.Fatalf("got kind %v, want %v", got, want)
 	}
-	l.SyncFile = nil
+	l.files.Sync = (*os.File).Sync
 	l.Append([]quorum.Entry{entry(2)})
 	if err := l.Sync(); err == nil {
 		t.Error("got no error after a failed sync, want the first error again")
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -39,16 +39,12 @@
 		if full.Load() {
 			return nil, disk.Loaded{}, errors.New("no space left")
 		}
-		log, loaded, err := disk.Open(folder)
-		if err == nil {
-			log.SyncFile = func(f *os.File) error {
-				if full.Load() {
-					return errors.New("no space left")
-				}
-				return f.Sync()
+		return disk.Files{Sync: func(f *os.File) error {
+			if full.Load() {
+				return errors.New("no space left")
 			}
-		}
-		return log, loaded, err
+			return f.Sync()
+		}}.Open(folder)
 	}
 	if err := s.Open(""); err != nil {
 		t.Fatal(err)
