--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -355,11 +355,13 @@
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil {
-		return errors.Wrapf(err, "write %s", temp)
+	if err == nil {
+		err = l.files.Rename(temp, l.path(name))
 	}
-	if err := l.files.Rename(temp, l.path(name)); err != nil {
-		return errors.Wrap(err, "rename")
+	if err != nil {
+		// On a full disk, the log needs the space of the incomplete file.
+		_ = os.Remove(temp)
+		return errors.Wrapf(err, "replace %s", l.path(name))
 	}
 	return l.syncFolder()
 }
--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"swiftbeam/internal/fault"
@@ -193,3 +194,54 @@
 		}
 	}
 }
+
+// TestFailedSnapshotTakesNoSpace guards against a log that can never be written again because the incomplete file of a
+// snapshot fills the disk.
+func TestFailedSnapshotTakesNoSpace(t *testing.T) {
+	const space = 4 << 10
+	folder := t.TempDir()
+	used := func() int {
+		t.Helper()
+		entries, err := os.ReadDir(folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		total := 0
+		for _, e := range entries {
+			info, err := e.Info()
+			if err != nil {
+				t.Fatal(err)
+			}
+			total += int(info.Size())
+		}
+		return total
+	}
+	files := Files{Write: func(f *os.File, data []byte) (int, error) {
+		if free := space - used(); len(data) > free {
+			n, _ := f.Write(data[:free])
+			return n, syscall.ENOSPC
+		}
+		return f.Write(data)
+	}}
+	l, _, err := files.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(t, l, 1, 5)
+	snap := quorum.Snapshot{Index: 5, Term: 1, Data: make([]byte, space)}
+	if err := l.SaveSnapshot(snap, quorum.HardState{Term: 1}, nil); err == nil {
+		t.Fatal("got no error for a snapshot that is larger than the disk, want one")
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	l, loaded, err := files.Open(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if len(loaded.Entries) != 5 {
+		t.Errorf("got %d entries after the failure, want 5", len(loaded.Entries))
+	}
+	write(t, l, 6, 6)
+}
