--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -16,7 +16,6 @@
 	"connectrpc.com/connect"
 	"github.com/go-logr/logr"
 
-	"swiftbeam/internal/disk"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
@@ -81,7 +80,10 @@
 	settings []*setup.Node
 	cores    []*Core
 	stalled  []atomic.Pointer[chan struct{}]
-	links    links
+	full     []fullDisk
+	// snapshotEvery replaces snapshotEntries at daemons that are started from now on, unless it is 0.
+	snapshotEvery uint64
+	links         links
 	// log gets the lines of the daemons that are started from now on.
 	log logr.Logger
 	// noRejoin makes daemons that start trust the membership in their own log.
@@ -101,9 +103,19 @@
 
 // newCluster starts n core daemons, with the given changes of their settings.
 func newCluster(t *testing.T, n int, changes ...func(*setup.Node)) *cluster {
+	t.Helper()
+	g := prepareCluster(t, n, changes...)
+	for i := range n {
+		g.start(i)
+	}
+	return g
+}
+
+// prepareCluster is newCluster without the start of the daemons.
+func prepareCluster(t *testing.T, n int, changes ...func(*setup.Node)) *cluster {
 	t.Helper()
 	g := &cluster{
-		t: t, folder: t.TempDir(), cloud: &recordingCloud{}, cores: make([]*Core, n), stalled: make([]atomic.Pointer[chan struct{}], n),
+		t: t, folder: t.TempDir(), cloud: &recordingCloud{}, cores: make([]*Core, n), stalled: make([]atomic.Pointer[chan struct{}], n), full: make([]fullDisk, n),
 		links: links{cut: make(map[string]bool), conns: make(map[net.Conn][2]string)},
 	}
 	var seeds []string
@@ -126,7 +138,6 @@
 		for _, change := range changes {
 			change(g.settings[i])
 		}
-		g.start(i)
 	}
 	t.Cleanup(func() {
 		for _, c := range g.cores {
@@ -145,16 +156,30 @@
 }
 
 func (g *cluster) start(i int) {
+	g.t.Helper()
+	if err := g.tryStart(i); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
+// tryStart starts a daemon, unless its data folder cannot be opened.
+func (g *cluster) tryStart(i int) error {
 	g.t.Helper()
 	stalled := &g.stalled[i]
-	c, err := New(g.settings[i], Options{Log: g.log, Decode: decode, Cloud: g.cloud, Dial: g.links.dialer(g.settings[i].Peers), OpenDisk: disk.Files{Sync: func(f *os.File) error {
+	files := g.full[i].files()
+	syncFile := files.Sync
+	files.Sync = func(f *os.File) error {
 		if blocked := stalled.Load(); blocked != nil {
 			<-*blocked
 		}
-		return f.Sync()
-	}}.Open})
+		return syncFile(f)
+	}
+	c, err := New(g.settings[i], Options{Log: g.log, Decode: decode, Cloud: g.cloud, Dial: g.links.dialer(g.settings[i].Peers), OpenDisk: files.Open})
 	if err != nil {
-		g.t.Fatal(err)
+		return err
+	}
+	if g.snapshotEvery > 0 {
+		c.Store.SnapshotEvery = g.snapshotEvery
 	}
 	if g.noRejoin {
 		c.joiner.ContactTimeout = clock.Hour
@@ -166,6 +191,7 @@
 		g.t.Fatal(err)
 	}
 	g.cores[i] = c
+	return nil
 }
 
 // stallDisk blocks the disk syncs of a daemon until release is called, at the latest at the end of the test.
--- a/internal/core/rejoin_test.go
+++ b/internal/core/rejoin_test.go
@@ -143,6 +143,13 @@
 			g.putRules(1)
 			return release
 		}},
+		{"disk full", 1, func(g *cluster, i int) func() {
+			fail := failCalls("write", "create")
+			g.full[i].failing.Store(&fail)
+			// The daemon notices the full disk only when it writes.
+			g.putRules(1)
+			return func() { g.full[i].failing.Store(nil) }
+		}},
 		{"cut off", 1, cutOff},
 		{"started while cut off", 1, func(g *cluster, i int) func() {
 			g.crash(i, false)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -349,10 +349,14 @@
 		log.AppendHard(loaded.Hard)
 		err = log.Sync()
 	}
+	// The applied state is kept, because only committed entries are applied. A snapshot that was stored before the failure
+	// may be newer.
+	if err == nil && loaded.Snapshot.Index > s.state.Applied {
+		err = s.restore(&loaded.Snapshot)
+	}
 	if err != nil {
 		return false
 	}
-	// The applied state is kept, because only committed entries are applied.
 	s.raft = quorum.Load(s.Settings, now, loaded.Hard, loaded.Snapshot, loaded.Entries)
 	s.diskErr = nil
 	s.Log.Info("data folder is usable again", "lastIndex", s.raft.LastIndex(), "term", loaded.Hard.Term)
