Edge: a planned stop answers every request that it reads

What callers saw: in a planned stop, requests that arrive slowly are passed on late and cut without an answer, also such that may not be repeated; others are read and dropped without a response.

Requests behind another one in the same packet are answered, too.

Why it works: conns.Tracker closes what carries no request and leaves the rest to the handler; the handler refuses what most likely takes longer than the daemon lives (the longest but two of the route's last 32 requests), and after the rotation all that is not certain to end. What is left 0.3 s before the end gets its final response then.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -70,7 +70,7 @@
 }
 
 // runNode runs an entry or core daemon until the first SIGTERM or interrupt, and then stops it gracefully.
-// A second signal exits at once with a failure.
+// At a second signal it ends all requests at once and exits with a failure, at a third it exits.
 func runNode(ctx context.Context, s *setup.Node, path string) error {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(s.MemoryBytes * memoryPercent / 100)
@@ -104,17 +104,15 @@
 	}
 	serveMetrics(s.Metrics, registry, log)
 	awaitStop(signals, path, n, log)
-	go func() {
-		for sig := range signals {
-			if sig != syscall.SIGHUP {
-				os.Exit(exitFailed)
-			}
-		}
-	}()
 	log.Info("stopping")
 	stop, cancel := context.WithTimeout(ctx, s.StopTimeout.Std()*19/20)
 	defer cancel()
+	go hasten(signals, cancel)
 	err = n.Stop(stop)
+	if errors.Is(stop.Err(), context.Canceled) {
+		log.Info("stopped by a second signal")
+		return errSecondSignal
+	}
 	if err != nil {
 		log.Info("graceful stop incomplete", "error", err.Error())
 	} else {
@@ -123,6 +121,23 @@
 	return nil
 }
 
+var errSecondSignal = errors.New("stopped by a second signal before all requests had ended")
+
+// hasten calls stopNow at the next signal that ends the process, and exits at the one after it.
+func hasten(signals <-chan os.Signal, stopNow func()) {
+	hastened := false
+	for sig := range signals {
+		switch {
+		case sig == syscall.SIGHUP:
+		case hastened:
+			os.Exit(exitFailed)
+		default:
+			hastened = true
+			stopNow()
+		}
+	}
+}
+
 // awaitStop reloads the seeds when the settings file has changed, and returns at SIGTERM or an interrupt.
 // SIGHUP checks the file at once.
 func awaitStop(signals <-chan os.Signal, path string, n node, log logr.Logger) {
--- a/internal/abort/abort.go
+++ b/internal/abort/abort.go
@@ -2,7 +2,6 @@
 package abort
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 )
@@ -21,7 +20,7 @@
 
 // reset closes the connection without the alert that marks an orderly end in TLS.
 func reset(conn net.Conn) {
-	conn = withoutTLS(conn)
+	conn = innermost(conn)
 	setLinger(conn, 0)
 	_ = conn.Close()
 }
@@ -29,14 +28,18 @@
 // setLinger sets for how long, in seconds, closing the connection waits until its bytes are sent: 0 resets it, -1 is the
 // default.
 func setLinger(conn net.Conn, seconds int) {
-	if plain, ok := withoutTLS(conn).(*net.TCPConn); ok {
+	if plain, ok := innermost(conn).(*net.TCPConn); ok {
 		_ = plain.SetLinger(seconds)
 	}
 }
 
-func withoutTLS(conn net.Conn) net.Conn {
-	if secured, ok := conn.(*tls.Conn); ok {
-		return secured.NetConn()
+// innermost returns the connection that a TLS connection or another wrapper uses.
+func innermost(conn net.Conn) net.Conn {
+	for {
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = outer.NetConn()
 	}
-	return conn
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/abort"
+	"swiftbeam/internal/conns"
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
 	"swiftbeam/internal/enrol"
@@ -53,6 +54,10 @@
 	// rulesSettleTime is how long a starting daemon that has rules waits for the other core daemons
 	// before it reports ready, so that it does not start with the rules of a core daemon that lags.
 	rulesSettleTime = 400 * clock.Millisecond
+	// answerTime is the part of the time to stop in which requests that have not ended get their final response.
+	answerTime = 300 * clock.Millisecond
+	// stopInterval is the interval at which a stopping daemon checks its connections.
+	stopInterval = 20 * clock.Millisecond
 	// Limits of callers' connections; those of the rules are tighter or equal.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
@@ -95,6 +100,9 @@
 	readinessServer *http.Server
 	// peerServer takes requests of other entry daemons; nil if the settings name no address for it.
 	peerServer *http.Server
+	listeners  []net.Listener
+	// trackers has the connections of callers and of other entry daemons.
+	trackers []*conns.Tracker
 
 	mu    sync.Mutex
 	table enrol.Table
@@ -200,6 +208,7 @@
 		Handler: e.Proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 	}
 	abort.Guard(e.callerServer)
+	e.trackers = append(e.trackers, conns.Track(e.callerServer))
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	servers := map[string]*http.Server{e.Settings.Callers: e.callerServer, e.Settings.Readiness: e.readinessServer}
 	if e.Settings.Peers != "" {
@@ -207,6 +216,7 @@
 			Handler: peers.RequireToken(e.Settings.PeerToken, http.HandlerFunc(e.Proxy.ServeHop)), ReadHeaderTimeout: headerTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
 		}
+		e.trackers = append(e.trackers, conns.Track(e.peerServer))
 		servers[e.Settings.Peers] = e.peerServer
 	}
 	for address, server := range servers {
@@ -214,6 +224,12 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
+		if server != e.readinessServer {
+			e.listeners = append(e.listeners, l)
+		}
+		if server == e.callerServer {
+			l = e.trackers[0].Listener(l)
+		}
 		go func() { _ = server.Serve(l) }()
 	}
 	return nil
@@ -248,24 +264,65 @@
 	return true
 }
 
-// Stop reports the daemon as not ready, lets all requests finish, and ends the daemon.
+// Stop reports the daemon as not ready, lets the requests that can end in time do so, refuses the others, and ends the daemon.
+// Shortly before the deadline of ctx, or when it is canceled, it ends the requests that are left.
 func (e *Edge) Stop(ctx context.Context) error {
 	e.draining.Store(true)
-	e.Proxy.Draining.Store(true)
 	e.log.Info("draining", "inFlight", e.Proxy.InFlight())
+	last := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		last, cancel = context.WithDeadline(last, deadline)
+		defer cancel()
+		end := deadline.Add(-answerTime.Std())
+		ctx, cancel = context.WithDeadline(ctx, end)
+		defer cancel()
+		e.Proxy.StopBy(e.clock.Now().Add(clock.FromStd(time.Until(end))))
+	}
+	e.Proxy.Draining.Store(true)
 	runner.Pause(ctx, rotationDelay)
-	err := e.callerServer.Shutdown(ctx)
-	if e.peerServer != nil {
-		err = errors.CombineErrors(err, e.peerServer.Shutdown(ctx))
+	for _, l := range e.listeners {
+		_ = l.Close()
+	}
+	e.Proxy.TakeOnlyCertain()
+	e.awaitConnections(ctx, func(t *conns.Tracker) int { return t.CloseIdle(time.Now()) })
+	unended := e.Proxy.InFlight()
+	if unended > 0 {
+		e.log.Info("ending requests that are left", "inFlight", unended)
 	}
-	e.Proxy.Wait(ctx)
+	e.Proxy.EndRequests()
+	last, cancel := context.WithTimeout(last, answerTime.Std())
+	defer cancel()
+	e.awaitConnections(last, (*conns.Tracker).Active)
+	e.Proxy.Wait(last)
 	e.Proxy.Close()
 	e.stopped.Store(true)
-	e.sendReport(ctx, nil)
+	e.sendReport(last, nil)
 	e.cancel()
-	_ = e.readinessServer.Close()
+	for _, s := range []*http.Server{e.callerServer, e.peerServer, e.readinessServer} {
+		if s != nil {
+			_ = s.Close()
+		}
+	}
 	e.group.Wait()
-	return err
+	if unended > 0 {
+		return errors.Newf("%d requests had not ended", unended)
+	}
+	return nil
+}
+
+// awaitConnections waits until ctx ends or count returns 0 for the connections of callers and of other daemons.
+func (e *Edge) awaitConnections(ctx context.Context, count func(*conns.Tracker) int) {
+	for ctx.Err() == nil {
+		open := 0
+		for _, t := range e.trackers {
+			open += count(t)
+		}
+		if open == 0 {
+			return
+		}
+		runner.Pause(ctx, stopInterval)
+	}
 }
 
 const (
--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -70,7 +70,9 @@
 	defer p.Room.Release(length)
 	x.deadline = x.arrived.Add(x.hop.Remaining)
 	// The other daemon ends the request at its deadline. This one does only if the connection is lost without a sign.
-	ctx, cancel := context.WithTimeout(x.r.Context(), (x.hop.Remaining + assistMargin).Std())
+	ctx, stopWaiting := p.untilStop(x.r.Context())
+	defer stopWaiting()
+	ctx, cancel := context.WithTimeout(ctx, (x.hop.Remaining + assistMargin).Std())
 	defer cancel()
 	var err error
 	if x.request, err = p.Dialect.ParseRequest(x.r); err != nil {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"swiftbeam/internal/conns"
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/event"
 	"swiftbeam/internal/hops"
@@ -107,9 +108,6 @@
 	// Without this, net/http adds a Date header; responses are passed on as the backend server sent
 	// them.
 	x.w.Header()["Date"] = nil
-	if p.Draining.Load() {
-		x.w.Header().Set("Connection", "close")
-	}
 	x.rules = p.awaitRules(x.r.Context())
 	if x.rules == nil {
 		x.refuse("no rules yet", noRulesRetryAfter)
@@ -119,8 +117,14 @@
 		return
 	}
 	x.deadline = x.arrived.Add(min(x.request.Wait, x.route.Timeout))
-	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline.Sub(p.Clock.Now()).Std())
+	ctx, stopWaiting := p.untilStop(x.r.Context())
+	defer stopWaiting()
+	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(p.Clock.Now()).Std())
 	defer cancel()
+	if !x.endsInTime() {
+		x.refuseStopping()
+		return
+	}
 	x.suspects = x.findParts()
 	if !x.admit(ctx) || !x.takeQuota(ctx) {
 		return
@@ -295,6 +299,11 @@
 	x.reply(http.StatusServiceUnavailable, "refused", message)
 }
 
+// refuseStopping refuses a request that would most likely not end before the daemon does.
+func (x *exchange) refuseStopping() {
+	x.refuse("this daemon is stopping; send it to another one", stopRetryAfter)
+}
+
 // fail ends a request that a backend server may have run.
 func (x *exchange) fail(status int, message string) {
 	x.proxy.Counts.Failed.Add(1)
@@ -318,10 +327,18 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	text := detail + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
+	x.closeIfDraining()
 	x.w.WriteHeader(status)
 	_, _ = io.WriteString(x.w, text)
 }
 
+// closeIfDraining asks the caller to close its connection if the daemon stops, unless a further request has arrived on it.
+func (x *exchange) closeIfDraining() {
+	if x.proxy.Draining.Load() && !conns.HasNext(x.r) {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // log writes the log line of the request.
 func (x *exchange) log() {
 	x.proxy.Log.Info("request",
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -48,7 +48,8 @@
 	p := x.proxy
 	p.mu.Lock()
 	service := p.serviceState(x.service)
-	service.Budget.CountRequest(p.Clock.Now())
+	since := p.Clock.Now()
+	service.Budget.CountRequest(since)
 	service.Requests++
 	p.mu.Unlock()
 	x.sequence.Last = event.NoID
@@ -68,6 +69,9 @@
 			return
 		}
 		if x.finishAttempt(x.attemptState(result)) {
+			if x.outcome == "served" {
+				x.observeDuration(since)
+			}
 			return
 		}
 	}
@@ -84,6 +88,10 @@
 func (x *exchange) attempt(ctx context.Context) (retry.Result, bool) {
 	p := x.proxy
 	unsent := x.attemptState(retry.Unsent)
+	if retry.Final(unsent) == retry.Refuse && !x.endsInTime() {
+		x.refuseStopping()
+		return 0, false
+	}
 	switch x.chooseWay() {
 	case detour.Nowhere:
 		x.giveUp(unsent, "no daemon reaches the servers")
@@ -136,7 +144,7 @@
 		x.giveUp(a, "no further attempt is allowed")
 		return true
 	case retry.Expired:
-		x.fail(http.StatusGatewayTimeout, "no answer in time")
+		x.fail(http.StatusGatewayTimeout, x.expiry())
 		return true
 	case retry.Truncate:
 		x.truncate("the server's stream broke off")
@@ -147,6 +155,14 @@
 	}
 }
 
+// expiry says why a request got no answer in time.
+func (x *exchange) expiry() string {
+	if x.proxy.isStopped() {
+		return "no answer before this daemon stopped"
+	}
+	return "no answer in time"
+}
+
 // giveUp ends a request for which no further attempt is possible.
 func (x *exchange) giveUp(a retry.Attempt, message string) {
 	switch retry.Final(a) {
@@ -181,7 +197,7 @@
 func (x *exchange) mayRetry(a retry.Attempt) bool {
 	p := x.proxy
 	now := p.Clock.Now()
-	if !now.Before(x.deadline) || len(x.tried) > maxServersTried {
+	if !now.Before(x.deadline) || len(x.tried) > maxServersTried || p.isStopped() {
 		return false
 	}
 	if a.Result == retry.Unsent {
@@ -221,7 +237,7 @@
 	}
 	p.mu.Lock()
 	failed := result == retry.Incomplete || result == retry.Failed || result == retry.TimedOut && x.deadline.Sub(x.arrived) > clock.Second
-	if ctx.Err() != nil && x.r.Context().Err() != nil {
+	if ctx.Err() != nil && (x.r.Context().Err() != nil || p.isStopped()) {
 		failed = false
 	}
 	service.Finish(p.Clock.Now(), a.assignment, placeResult(result, failed))
@@ -350,7 +366,7 @@
 // deadline, otherwise Incomplete.
 func (a *attempt) failed(ctx context.Context, server *place.Server, message string, err error) retry.Result {
 	a.lastResponse.Ending = message
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || ctx.Err() != nil && a.proxy.isStopped() {
 		a.mayHaveRun = true
 		return retry.TimedOut
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -30,6 +30,7 @@
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/spans"
 	"swiftbeam/internal/spool"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/usage"
@@ -75,6 +76,7 @@
 	ReportCrashes func()
 	// Draining makes each response ask the caller to close its connection.
 	Draining atomic.Bool
+	stop     stop
 	// Peers is how requests go through other entry daemons, Room bounds those that come from them.
 	Peers Peers
 	Room  detour.Room
@@ -100,8 +102,10 @@
 	closed         bool
 	limiter        quota.Limiter
 	counter        usage.Counter
-	requests       sync.WaitGroup
-	inFlight       atomic.Int64
+	// took is how long the last requests of each route took at the servers.
+	took     map[string]*spans.Recent
+	requests sync.WaitGroup
+	inFlight atomic.Int64
 }
 
 // ServiceState is the routing state of a service with its retry budget and counters.
@@ -173,6 +177,7 @@
 		p.configure(p.serviceState(set.Services[i].Name), &set.Services[i])
 	}
 	p.limiter.SetRules(set)
+	p.forgetRoutes(set)
 	p.rules.Store(set)
 	if p.rulesArrived != nil {
 		close(p.rulesArrived)
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -159,6 +159,7 @@
 	s := x.saved
 	x.copyHeader(s.header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(s.body.Length))
+	x.closeIfDraining()
 	x.status, x.outcome = s.status, "served"
 	if a.Result == retry.Failed {
 		x.outcome = "failed by server"
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -75,6 +75,7 @@
 	x.responseStarted = true
 	x.status = r.StatusCode
 	x.copyHeader(r.Header)
+	x.closeIfDraining()
 	x.w.WriteHeader(r.StatusCode)
 }
 
