Tests: responses cut at each byte of their head

- TestEngineAnswersCutInTheirHeadAreErrors, TestAnswersCutInTheirHeadAreNoOutcome: the product's own interface.

The reason that heads hold: http.ReadResponse returns an error unless the empty line has arrived whole. The daemons make no health checks.

--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -127,3 +127,23 @@
 		})
 	}
 }
+
+// TestEngineAnswersCutInTheirHeadAreErrors guards against an engine that closed its connection at any byte of the head and
+// whose answer passes for a stream without tokens.
+func TestEngineAnswersCutInTheirHeadAreErrors(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 500", "Transfer-Encoding: chunked", "Connection: close"} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + framing + "\r\n\r\n"
+		for at := range len(head) + 1 {
+			for _, reset := range []bool{false, true} {
+				if reset && at%8 > 0 {
+					continue
+				}
+				address := serveOnce(t, head[:at], reset)
+				c := &Client{HTTP: NewHTTPClient(nil)}
+				if end, err := c.Stream(t.Context(), address, Call{Body: []byte("{}")}, func(string) {}); err == nil {
+					t.Errorf("%s, cut at %d, reset %t: got end %+v without an error, want an error", framing, at, reset, end)
+				}
+			}
+		}
+	}
+}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -487,3 +487,34 @@
 		})
 	}
 }
+
+// TestAnswersCutInTheirHeadAreNoOutcome guards against a server that closed its connection at any byte of the head and whose
+// answer passes for an empty one.
+func TestAnswersCutInTheirHeadAreNoOutcome(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 7", "Transfer-Encoding: chunked"} {
+		head := "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "\r\n\r\n"
+		for at := range len(head) + 1 {
+			var runs atomic.Int64
+			address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.ReadAll(r.Body)
+					runs.Add(1)
+				}
+				_, _ = io.WriteString(conn, head[:at])
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := &Executor{HTTP: &http.Client{Transport: &http.Transport{}}}
+			_ = c.Start(t.Context(), &runner.Group{})
+			q := Call{OnceKey: state.OnceKey{Key: "k"}, Method: http.MethodPost, Path: "/", Body: []byte("deposit"), Timeout: clock.Second}
+			answer, err := c.post(q, address)
+			if err == nil || engine.NotSent(err) {
+				t.Errorf("%s, cut at %d: got answer %+v, error %v, want an unknown outcome", framing, at, answer, err)
+			}
+			if got := runs.Load(); got != 1 {
+				t.Errorf("%s, cut at %d: got %d runs, want 1", framing, at, got)
+			}
+		}
+	}
+}
