--- a/internal/core/full_test.go
+++ b/internal/core/full_test.go
@@ -163,6 +163,14 @@
 			return failAfter(time.Second, failCalls("write"), failCalls("rename log"))
 		}, none, 2 * time.Second},
 		{"now and then", func(r *rand.Rand) func(string) bool { return failSome(r, 6) }, none, 0},
+		{"slow syncs in place of full disks", func(*rand.Rand) func(string) bool {
+			return func(call string) bool {
+				if call == "sync" {
+					time.Sleep(400 * time.Millisecond)
+				}
+				return false
+			}
+		}, none, 0},
 		{"killed", func(*rand.Rand) func(string) bool { return failCalls("part", "create") }, killed, 0},
 		{"cut off", func(*rand.Rand) func(string) bool { return failCalls("write", "create") }, cutOff, 0},
 		{"wiped", func(*rand.Rand) func(string) bool { return failCalls("write", "create") }, wiped, 0},
