Conns: a request that crosses the close of an idle connection is served, or not handled

Cause: a connection counts as idle until net/http has read the whole head of a request. CloseIdle closed it then, and the request was handled all the same; Server.Shutdown avoids that by dropping what it reads.

Change: a connection on which bytes of a request were read, or wait to be read, is not idle; and a request on a connection that was closed is not handled.

--- a/internal/conns/conns.go
+++ b/internal/conns/conns.go
@@ -34,6 +34,8 @@
 type status struct {
 	state http.ConnState
 	since time.Time
+	// closed is set once CloseIdle has closed the connection. Its server may read a request that had arrived.
+	closed bool
 }
 
 // Track returns a tracker for a server that does not serve yet. It sets the server's ConnState and extends its ConnContext
@@ -49,14 +51,32 @@
 		return context.WithValue(ctx, connKey{}, conn)
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
-			c.handled.Add(1)
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		if !t.begin(conn) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
 	return t
 }
 
+// begin records that a request on a connection is handled. It reports false if the connection was closed, so that no
+// response could be sent.
+func (t *Tracker) begin(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.conns[c]
+	if s.closed {
+		return false
+	}
+	s.state = http.StateActive
+	t.conns[c] = s
+	if c, ok := c.(*conn); ok {
+		c.handled.Add(1)
+	}
+	return true
+}
+
 func (t *Tracker) observe(conn net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -64,7 +84,7 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, conn)
 	default:
-		t.conns[conn] = status{state: state, since: time.Now()}
+		t.conns[conn] = status{state: state, since: time.Now(), closed: t.conns[conn].closed}
 	}
 }
 
@@ -73,13 +93,21 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	open := 0
-	for conn, s := range t.conns {
-		if s.state == http.StateIdle || s.state == http.StateNew && now.Sub(s.since) > silentTimeout {
-			_ = conn.Close()
-			delete(t.conns, conn)
+	for c, s := range t.conns {
+		if s.closed {
+			continue
+		}
+		idle := s.state == http.StateIdle || s.state == http.StateNew && now.Sub(s.since) > silentTimeout
+		if counted, ok := c.(*conn); ok && idle {
+			idle = !counted.hasInput()
+		}
+		if !idle {
+			open++
 			continue
 		}
-		open++
+		_ = c.Close()
+		s.closed = true
+		t.conns[c] = s
 	}
 	return open
 }
@@ -90,7 +118,7 @@
 	defer t.mu.Unlock()
 	active := 0
 	for _, s := range t.conns {
-		if s.state == http.StateActive {
+		if s.state == http.StateActive && !s.closed {
 			active++
 		}
 	}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -58,6 +60,52 @@
 	}
 }
 
+// TestRequestsThatCrossTheCloseAreNotCut guards against a request that is handled although its connection was closed as idle
+// at that moment.
+func TestRequestsThatCrossTheCloseAreNotCut(t *testing.T) {
+	const clients, rounds = 64, 20
+	var handled, answered atomic.Int64
+	for range rounds {
+		tracker, l, address := start(t, func(w http.ResponseWriter, _ *http.Request) {
+			handled.Add(1)
+			_, _ = io.WriteString(w, "fine")
+		})
+		var work sync.WaitGroup
+		for range clients {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			work.Go(func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+					response, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, response.Body); err == nil {
+						answered.Add(1)
+					}
+					response.Body.Close()
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		_ = l.Close()
+		for deadline := time.Now().Add(5 * time.Second); tracker.CloseIdle(time.Now()) > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("got open connections after 5 s, want none")
+			}
+		}
+		work.Wait()
+	}
+	if got, want := answered.Load(), handled.Load(); got != want {
+		t.Errorf("got %d responses to %d requests that were handled", got, want)
+	}
+}
+
 // TestSilentConnectionsCountAsIdle guards against a stop that waits for callers that opened a connection and send nothing.
 func TestSilentConnectionsCountAsIdle(t *testing.T) {
 	tracker, _, address := start(t, func(http.ResponseWriter, *http.Request) {})
--- a/internal/conns/next.go
+++ b/internal/conns/next.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 )
 
 // connKey is the context key of the connection of a request.
@@ -31,6 +32,8 @@
 	framer  framer
 	arrived atomic.Int64
 	handled atomic.Int64
+	// begun is set while a request was read in part.
+	begun atomic.Bool
 }
 
 // NetConn returns the TCP connection.
@@ -40,9 +43,29 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.arrived.Add(int64(c.framer.count(b[:n])))
+	c.begun.Store(c.framer.begun || c.framer.body > 0 || len(c.framer.line) > 0)
 	return n, err
 }
 
+// hasInput reports whether a request has arrived, in whole or in part, that is not handled yet.
+func (c *conn) hasInput() bool {
+	if c.begun.Load() || c.arrived.Load() > c.handled.Load() {
+		return true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waiting := false
+	// Control, unlike Read, does not wait for a read in progress.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waiting = peekErr == nil && n > 0
+	})
+	return err == nil && waiting
+}
+
 // HasNext reports whether a whole further request was read from the connection of r. It is not certain: behind a request
 // whose body is sent in chunks, it reports false.
 func HasNext(r *http.Request) bool {
