Conns: a connection behind a body in chunks is idle once its request has ended

What operators saw: a planned stop of an entry daemon lasts until the end of its time if one caller with an open connection last sent a body in chunks; the stop waits for a connection that carries nothing.

Cause: the framer gives up at chunks in the middle of a head, and that head counted as a request in part from then on.

Change: what the framer has lost is no evidence of input; the bytes that wait at the socket still are.

TestIdleConnectionsOfChunkedRequestsAreClosed: open 2 s after its response before, closed after; go test -count=3 ./internal/conns and the tests of planned stops in platform pass.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestIdleConnectionsOfChunkedRequestsAreClosed guards against a stop that waits for a connection whose last request had a body
+// in chunks, behind which the end of a request cannot be found.
+func TestIdleConnectionsOfChunkedRequestsAreClosed(t *testing.T) {
+	tracker, _, address := start(t, func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	for deadline := time.Now().Add(2 * time.Second); tracker.CloseIdle(time.Now()) > 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("got an open connection 2 s after its response, want none")
+		}
+	}
+}
+
 // TestHasNext guards against a connection that is closed with the response to a request, though a further one was read.
 func TestHasNext(t *testing.T) {
 	const get, post = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", "POST /2 HTTP/1.1\nHost: a\ncontent-length: 5\n\nab\r\n\n"
--- a/internal/conns/next.go
+++ b/internal/conns/next.go
@@ -43,7 +43,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.arrived.Add(int64(c.framer.count(b[:n])))
-	c.begun.Store(c.framer.begun || c.framer.body > 0 || len(c.framer.line) > 0)
+	c.begun.Store(c.framer.isWithin())
 	return n, err
 }
 
@@ -88,6 +88,9 @@
 	lost bool
 }
 
+// isWithin reports whether the last bytes are known to be part of a request that has not ended.
+func (f *framer) isWithin() bool { return !f.lost && (f.begun || f.body > 0 || len(f.line) > 0) }
+
 // count returns the number of requests that end in the next bytes of the connection.
 func (f *framer) count(b []byte) int {
 	ended := 0
