Runner: a group takes goroutines while a stop waits for it

Cause: handlers of once, relay and peers start goroutines of the group while Daemon.Kill waits for it. A sync.WaitGroup forbids an Add from zero before all waiters have returned.

Change: Group counts its goroutines itself; Wait returns at the first moment at which none is left.

--- a/internal/runner/lifecycle.go
+++ b/internal/runner/lifecycle.go
@@ -34,18 +34,50 @@
 	Dump() any
 }
 
-// Group tracks the goroutines of a process so that a stop can wait for them.
+// Group tracks the goroutines of a process so that a stop can wait for them. Unlike a sync.WaitGroup, it
+// takes further goroutines while Wait is called, as handlers of requests start some during a stop. The
+// zero value is ready to use.
 type Group struct {
-	wait sync.WaitGroup
+	mu      sync.Mutex
+	running int
+	// idle is closed when no goroutine is left; nil while nobody waits.
+	idle chan struct{}
 }
 
 // Go runs f in a goroutine of the group.
 func (g *Group) Go(f func()) {
-	g.wait.Go(f)
+	g.mu.Lock()
+	g.running++
+	g.mu.Unlock()
+	go func() {
+		defer g.done()
+		f()
+	}()
+}
+
+func (g *Group) done() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running--; g.running == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
 }
 
-// Wait returns when all goroutines of the group have ended.
-func (g *Group) Wait() { g.wait.Wait() }
+// Wait returns when all goroutines of the group have ended. Those that start later are not waited for.
+func (g *Group) Wait() {
+	g.mu.Lock()
+	if g.running == 0 {
+		g.mu.Unlock()
+		return
+	}
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
+	g.mu.Unlock()
+	<-idle
+}
 
 // Runner manages the services of a process. The zero value is ready to use.
 type Runner struct {
