--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -145,9 +145,13 @@
 
 func (c *Core) orderForService(ctx context.Context, s *rules.Service, r *state.Rollout) {
 	now := c.clock.Now()
+	evacuated := c.evacuated()
 	c.mu.Lock()
 	m := c.duties.service(now, s.Name)
 	zones := c.zones(s, r, m)
+	for i := range zones {
+		zones[i].Evacuated = evacuated[zones[i].Name]
+	}
 	if m.initialReplicas == 0 {
 		for _, z := range zones {
 			m.initialReplicas += z.OnDemand + z.Spot
@@ -159,6 +163,9 @@
 	targets := m.mix.Decide(now, required, bounds, zones)
 	c.mu.Unlock()
 	for i, w := range targets {
+		if zones[i].Evacuated {
+			continue
+		}
 		// The kind that grows is ordered first, so that the zone does not fall below its minimum in
 		// between.
 		orders := []zoneOrder{
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -183,6 +184,7 @@
 		}
 		return 0
 	})
+	meter.RegisterGauge(r, "core.evacuatedZones", func() int64 { return int64(len(c.evacuated())) })
 	meter.RegisterGauge(r, "core.servers", func() int64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -337,6 +339,7 @@
 			out.Rollouts = append(out.Rollouts, &copied)
 		}
 		out.Crashes = s.Crashes.Revision
+		out.Evacuations = slices.Collect(maps.Values(s.Evacuations))
 	})
 	return out
 }
--- /dev/null
+++ b/internal/core/evacuation.go
@@ -0,0 +1,101 @@
+package core
+
+import (
+	"context"
+
+	"swiftbeam/internal/fault"
+	"swiftbeam/internal/state"
+	"swiftbeam/internal/valid"
+	"swiftbeam/pkg/clock"
+)
+
+// rosterTime is the time from the start of a core daemon after which it has received the announcements of all backend
+// servers, so that a zone which none of them names is unknown.
+const rosterTime = 10 * clock.Second
+
+// Evacuate commits an operator's request to send nothing more to the backend servers of an availability zone. A repeated
+// request is acknowledged and changes nothing.
+func (c *Core) Evacuate(ctx context.Context, zone, by string) error {
+	if !valid.IsText(zone) {
+		return fault.New(fault.Invalid, "%s is no name of an availability zone", valid.Quote(zone)).Remedy("send at most 256 printable characters")
+	}
+	if !c.mayExist(zone) {
+		return fault.New(fault.Invalid, "no server, daemon or price is in the availability zone %s", valid.Quote(zone)).
+			Remedy("check the name, for instance against the zones of the rules")
+	}
+	return c.changeEvacuation(ctx, zone, state.EvacuateZone{Zone: zone, By: by, At: c.Follower.ClusterTime()})
+}
+
+// ReturnZone commits an operator's request to end the evacuation of an availability zone.
+func (c *Core) ReturnZone(ctx context.Context, zone, by string) error {
+	if !valid.IsText(zone) {
+		return fault.New(fault.Invalid, "%s is no name of an availability zone", valid.Quote(zone)).Remedy("send at most 256 printable characters")
+	}
+	return c.changeEvacuation(ctx, zone, state.ReturnZone{Zone: zone, By: by, At: c.Follower.ClusterTime()})
+}
+
+func (c *Core) changeEvacuation(ctx context.Context, zone string, body state.Body) error {
+	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout.Std()+commitTimeout.Std())
+	defer cancel()
+	message := "zone returned"
+	if _, ok := body.(state.EvacuateZone); ok {
+		message = "zone evacuated"
+	}
+	result, err := c.propose(ctx, body)
+	if err != nil {
+		c.log.Info("evacuation not committed", "zone", zone, "what", message, "error", err.Error())
+		return err
+	}
+	c.awaitVoters(ctx)
+	c.log.Info(message, "zone", zone, "revision", result.Version, "repeated", result.Code == state.Existing)
+	return nil
+}
+
+// mayExist reports whether an availability zone is known, or may be as this daemon does not know all of them yet.
+func (c *Core) mayExist(zone string) bool {
+	set := c.ruleSet.Load()
+	if set == nil || zone == c.Settings.Zone || !c.joiner.CaughtUp.Load() || c.clock.Now().Sub(c.started) < rosterTime {
+		return true
+	}
+	for _, m := range c.Store.Status().Members {
+		if m.Zone == zone {
+			return true
+		}
+	}
+	for i := range set.Services {
+		if s := set.Services[i].Scaling; s != nil {
+			if _, ok := s.ZonePrices[zone]; ok {
+				return true
+			}
+		}
+	}
+	known := false
+	c.Store.View(func(s *state.State) { _, known = s.Evacuations[zone] })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.table.ByID {
+		known = known || r.Zone == zone
+	}
+	return known || len(c.table.ByID) == 0
+}
+
+// evacuated returns the availability zones that are evacuated.
+func (c *Core) evacuated() map[string]bool {
+	zones := make(map[string]bool)
+	c.Store.View(func(s *state.State) {
+		for _, e := range s.Evacuations {
+			if e.Evacuated {
+				zones[e.Zone] = true
+			}
+		}
+	})
+	return zones
+}
+
+// Evacuations returns the evacuated zones and those that were, after committing a barrier.
+func (c *Core) Evacuations(ctx context.Context) ([]state.Evacuation, error) {
+	if _, err := c.propose(ctx, state.Barrier{}); err != nil {
+		return nil, err
+	}
+	return c.sharedState().Evacuations, nil
+}
--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -124,11 +124,12 @@
 func (c *Core) rolloutInputs(r *state.Rollout) moves.Inputs {
 	in := moves.Inputs{Plan: moves.ShortPlan}
 	old := make(map[string]bool)
+	evacuated := c.evacuated()
 	for _, server := range c.table.ByID {
 		if server.Service != r.Service {
 			continue
 		}
-		usable := server.State == enrol.Ready
+		usable := server.State == enrol.Ready && !evacuated[server.Zone]
 		switch {
 		case server.Version == r.To && usable:
 			in.ReadyNew++
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -166,6 +166,7 @@
 		}
 		return 0
 	})
+	meter.RegisterGauge(r, "entry.evacuatedZones", func() int64 { return int64(len(e.Proxy.EvacuatedZones())) })
 	meter.RegisterGauge(r, "entry.serversRejected", func() int64 {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -340,6 +341,7 @@
 		now := e.clock.Now()
 		late := max(now.Sub(last)-lagInterval, 0)
 		last = now
+		e.Proxy.Tick()
 		e.Proxy.Room.ObserveLag(late)
 		if late > pauseTime {
 			e.Proxy.Resumed()
@@ -350,6 +352,10 @@
 
 // receiveEvent applies an event from a core daemon.
 func (e *Edge) receiveEvent(address string, event *peerpb.FeedEvent) {
+	// Before the rules, so that a starting daemon sends nothing to evacuated zones.
+	for _, m := range event.GetEvacuations() {
+		e.applyEvacuation(address, wire.EvacuationFromPB(m))
+	}
 	if d := event.GetRules(); d != nil {
 		e.applyRules(address, d)
 	}
@@ -362,6 +368,19 @@
 	if len(event.GetServers()) > 0 {
 		e.mergeServers(address, event.GetServers())
 	}
+	e.Proxy.Heard(address, clock.Instant(event.GetClock()))
+}
+
+// applyEvacuation applies the evacuation or the return of an availability zone.
+func (e *Edge) applyEvacuation(address string, v state.Evacuation) {
+	if !e.Proxy.SetEvacuation(v) {
+		return
+	}
+	message := "zone returned"
+	if v.Evacuated {
+		message = "zone evacuated"
+	}
+	e.log.Info(message, "zone", v.Zone, "revision", v.Revision, "agoMs", int64(e.Follower.ClusterTime().Sub(v.Since)), "by", v.By, "from", address)
 }
 
 // applyCrashes applies changes of the traits of requests that crash servers.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -48,13 +48,24 @@
 	Rollouts []*state.Rollout
 	// Crashes is the revision of the traits of requests that crash servers.
 	Crashes uint64
+	// Evacuations are the zones that are evacuated or were.
+	Evacuations []state.Evacuation
 }
 
 // Same reports whether followers are sent the same for both.
 func (s *SharedState) Same(o *SharedState) bool {
 	sameRollout := func(a, b *state.Rollout) bool { return a.Service == b.Service && a.Revision == b.Revision }
 	return s.Rules.Version == o.Rules.Version && s.Leader == o.Leader && s.Crashes == o.Crashes && slices.Equal(s.Cores, o.Cores) &&
-		slices.EqualFunc(s.Rollouts, o.Rollouts, sameRollout)
+		slices.EqualFunc(s.Rollouts, o.Rollouts, sameRollout) && evacuationRevision(s.Evacuations) == evacuationRevision(o.Evacuations)
+}
+
+// evacuationRevision returns the revision of the last change of the evacuations.
+func evacuationRevision(list []state.Evacuation) uint64 {
+	last := uint64(0)
+	for i := range list {
+		last = max(last, list[i].Revision)
+	}
+	return last
 }
 
 // Source streams the state of a core daemon to followers. Set the exported fields before use.
@@ -186,6 +197,8 @@
 	cores    []string
 	rollouts map[string]uint64
 	crashes  uint64
+	// evacuations is the revision of the last evacuation or return that was sent.
+	evacuations uint64
 }
 
 // Watch streams to one follower until it disconnects.
@@ -237,6 +250,12 @@
 			event.Rollouts = append(event.Rollouts, wire.RolloutToPB(rollout))
 		}
 	}
+	for _, e := range shared.Evacuations {
+		if entry && e.Revision > follower.evacuations {
+			event.Evacuations = append(event.Evacuations, wire.EvacuationToPB(e))
+		}
+	}
+	follower.evacuations = max(follower.evacuations, evacuationRevision(shared.Evacuations))
 	if entry && shared.Crashes > follower.crashes {
 		changes := s.CrashChanges(follower.crashes)
 		follower.crashes = changes.Revision
--- a/internal/hops/hops.go
+++ b/internal/hops/hops.go
@@ -39,6 +39,8 @@
 	Versions []string
 	// Avoid are the IDs of servers that must not get the request.
 	Avoid []string
+	// AvoidZones are the availability zones whose servers must not get the request.
+	AvoidZones []string
 }
 
 // Names of the fields of both messages.
@@ -52,6 +54,7 @@
 	fieldAfter      = "after"
 	fieldVersion    = "version"
 	fieldAvoid      = "avoid"
+	fieldAvoidZone  = "avoidZone"
 	fieldOutcome    = "outcome"
 	fieldServer     = "server"
 	fieldWait       = "waitMs"
@@ -79,6 +82,9 @@
 	if len(r.Avoid) > 0 {
 		v[fieldAvoid] = r.Avoid
 	}
+	if len(r.AvoidZones) > 0 {
+		v[fieldAvoidZone] = r.AvoidZones
+	}
 	return v.Encode()
 }
 
@@ -91,7 +97,7 @@
 	p := parser{values: v}
 	r := Request{
 		Nonce: v.Get(fieldNonce), From: v.Get(fieldFrom), Service: p.text(fieldService), Account: v.Get(fieldAccount), Remaining: clock.Duration(p.number(fieldRemaining)),
-		Urgency: int(p.number(fieldUrgency)), After: -1, Versions: v[fieldVersion], Avoid: v[fieldAvoid],
+		Urgency: int(p.number(fieldUrgency)), After: -1, Versions: v[fieldVersion], Avoid: v[fieldAvoid], AvoidZones: v[fieldAvoidZone],
 	}
 	if v.Has(fieldAfter) {
 		r.After = p.number(fieldAfter)
--- a/internal/proxy/around.go
+++ b/internal/proxy/around.go
@@ -164,7 +164,7 @@
 	open := s.Path.State != detour.Cut || p.closed
 	address := ""
 	if due {
-		address = s.probeAddress()
+		address = s.probeAddress(p.isEvacuated)
 	}
 	p.mu.Unlock()
 	if open || address == "" {
@@ -181,10 +181,14 @@
 	return s.Path.State == detour.Cut && !p.closed
 }
 
-// probeAddress returns the address of a random server, rather one that has not failed; empty if there is none.
-func (s *ServiceState) probeAddress() string {
+// probeAddress returns the address of a random server, rather one that has not failed; empty if there is none outside of
+// the evacuated zones.
+func (s *ServiceState) probeAddress(evacuated func(*place.Server) bool) string {
 	address := ""
 	for _, i := range rand.Perm(len(s.Servers)) {
+		if evacuated(s.Servers[i]) {
+			continue
+		}
 		if address = s.Servers[i].Address; !s.Path.HasFailed(address) {
 			break
 		}
@@ -269,18 +273,18 @@
 	if x.allowVersion == nil {
 		return nil, true
 	}
-	list := s.versions(x.allowVersion)
+	list := x.versions(s)
 	if len(list) == 0 && x.allowFallback(s.Rollout) {
-		list = s.versions(x.allowVersion)
+		list = x.versions(s)
 	}
 	return list, len(list) > 0
 }
 
 // versions returns the versions of the known servers that are allowed.
-func (s *ServiceState) versions(allowed func(version string) bool) []string {
+func (x *exchange) versions(s *ServiceState) []string {
 	var list []string
 	for _, o := range s.Servers {
-		if allowed(o.Version) && !slices.Contains(list, o.Version) {
+		if x.allowVersion(o.Version) && !x.avoids(o) && !slices.Contains(list, o.Version) {
 			list = append(list, o.Version)
 		}
 	}
@@ -486,7 +490,7 @@
 	h := x.request.Header.Clone()
 	hop := hops.Request{
 		Nonce: nonce, From: p.Peers.Name, Service: x.service, Account: x.accountName(), Remaining: x.deadline.Sub(p.Clock.Now()),
-		Urgency: a.urgency(), After: x.sequence.Last, Versions: versions, Avoid: x.avoided(),
+		Urgency: a.urgency(), After: x.sequence.Last, Versions: versions, Avoid: x.avoided(), AvoidZones: p.EvacuatedZones(),
 	}
 	h.Set(hops.Header, hop.Encode())
 	h.Set("Authorization", "Bearer "+p.Peers.Token)
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -23,7 +23,7 @@
 	shortest, found := clock.Duration(0), false
 	for _, s := range p.serviceState(x.service).Servers {
 		wait, takes := p.notices.Wait(now, clusterTime, noticeServer(s))
-		if !takes || x.allowVersion != nil && !x.allowVersion(s.Version) {
+		if !takes || x.avoids(s) || x.allowVersion != nil && !x.allowVersion(s.Version) {
 			continue
 		}
 		if wait <= 0 {
@@ -99,7 +99,7 @@
 		Now: now, Zone: p.Zone, Tokens: x.request.Prompt, Output: x.request.Output, Parts: x.request.Parts,
 		Avoid: x.tried, Versions: x.allowVersion, Draw: rand.Uint64(),
 		Blocked: func(s *place.Server) bool {
-			return p.notices.Excludes(now, clusterTime, noticeServer(s)) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
+			return x.avoids(s) || p.notices.Excludes(now, clusterTime, noticeServer(s)) || x.idleOnly && !p.Pool.HasIdle(s.Address, x.idleSince)
 		},
 	}
 }
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -182,6 +182,10 @@
 			x.refuse("the servers take no requests now", clock.Duration(float64(wait)*(1+returnSpread*rand.Float64())))
 			return
 		}
+		if x.allEvacuated() {
+			x.refuse("all availability zones of the servers are evacuated", clock.Duration(float64(evacuatedRetryAfter)*(1+returnSpread*rand.Float64())))
+			return
+		}
 		x.refuse(message, noServerRetryAfter)
 	default:
 		if x.saved != nil {
@@ -267,9 +271,10 @@
 	if err != nil {
 		return retry.Unsent
 	}
-	// The server may have said so while the request waited for the connection.
+	p.awaitCurrent(ctx)
+	// The server or an operator may have said so while the request waited for the connection.
 	p.mu.Lock()
-	takes := p.notices.Takes(p.Clock.Now(), noticeServer(server))
+	takes := p.notices.Takes(p.Clock.Now(), noticeServer(server)) && !x.avoids(server)
 	p.mu.Unlock()
 	if !takes {
 		conn.Release(conn.UsedAt > 0)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,6 +93,11 @@
 	monitor  moves.Monitor
 	services map[string]*ServiceState
 	notices  notice.Board
+	// evacuations are the availability zones that are evacuated or were, by name.
+	evacuations map[string]state.Evacuation
+	wake        wake
+	// caughtUp is closed when a core daemon is heard after a pause; nil while no request waits for that.
+	caughtUp chan struct{}
 	crashes  crash.Watch
 	// crashesLearned is closed at the next change of crashes; nil while no request waits for it.
 	crashesLearned chan struct{}
@@ -145,6 +150,8 @@
 	// noServerRetryAfter is the time within which a crashed server is usually replaced or reachable
 	// again.
 	noServerRetryAfter = 500 * clock.Millisecond
+	// evacuatedRetryAfter is the Retry-After while all zones of a service are evacuated, which an operator ends.
+	evacuatedRetryAfter = 2 * clock.Second
 	// noRoomRetryAfter is the time in which requests that brittle servers have now end.
 	noRoomRetryAfter = clock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal, as callers give up after a longer wait.
--- a/internal/proxy/rollout.go
+++ b/internal/proxy/rollout.go
@@ -34,6 +34,7 @@
 	ready := 0
 	for _, s := range service.Servers {
 		switch {
+		case x.avoids(s):
 		case s.Version == r.To:
 			ready++
 		case r.Keeps(s.Version):
--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -19,6 +19,9 @@
 	SpotStarting int
 	// SoldOutUntil is the instant until which no spot replicas are ordered here.
 	SoldOutUntil clock.Instant
+	// Evacuated zones receive no requests. They keep their targets, which nothing is ordered for, and their
+	// replicas do not count as serving.
+	Evacuated bool
 }
 
 // ZoneTarget is the number of replicas that a zone should have.
@@ -82,8 +85,9 @@
 		}
 	}
 	required = m.recentPeak(now, required)
-	m.targetSpot(now, required, b, zones)
-	m.targetOnDemand(now, required, b, zones)
+	serving := slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Evacuated })
+	m.targetSpot(now, required, b, serving)
+	m.targetOnDemand(now, required, b, serving)
 	var out []ZoneTarget
 	for _, z := range zones {
 		out = append(out, *m.targets[z.Name])
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -1,6 +1,6 @@
 // Package state is the replicated state of all daemons: the sections of the operators' document, the
 // journal of calls that must not be repeated, version moves and rollouts, traffic rules, usage records,
-// orders to backend servers, and traits of requests that crash them. It changes only by commands from the committed log; the same commands
+// orders to backend servers, traits of requests that crash them, and evacuated zones. It changes only by commands from the committed log; the same commands
 // produce the same state on every daemon:
 //
 //	s := &state.State{}
@@ -160,6 +160,8 @@
 	Crashes crash.Table
 	// Spending is the last record of what each account has spent of its quota.
 	Spending map[string]quota.Record
+	// Evacuations are the availability zones that are evacuated or were, by name.
+	Evacuations map[string]Evacuation
 
 	// Document is derived from the sections.
 	Document conf.Document
@@ -204,6 +206,10 @@
 		return Result{Version: s.Crashes.Revision}
 	case RecordSpending:
 		s.recordSpending(b.Records)
+	case EvacuateZone:
+		return s.setEvacuation(Evacuation{Zone: b.Zone, Evacuated: true, Since: b.At, By: b.By})
+	case ReturnZone:
+		return s.setEvacuation(Evacuation{Zone: b.Zone, Since: b.At, By: b.By})
 	}
 	return Result{}
 }
@@ -233,6 +239,7 @@
 	s.Usage = make(map[uint64]Usage)
 	s.Rollouts = make(map[string]*Rollout)
 	s.Spending = make(map[string]quota.Record)
+	s.Evacuations = make(map[string]Evacuation)
 }
 
 // putDeduplicated applies an operation once and returns the recorded result if it is repeated.
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -54,6 +54,10 @@
 		m.Body = &peerpb.Command_RecordCrashes{RecordCrashes: &peerpb.RecordCrashes{At: int64(b.At), Evidence: EvidenceToPB(&b.Evidence)}}
 	case state.RecordSpending:
 		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Records: spendingToPB(b.Records)}}
+	case state.EvacuateZone:
+		m.Body = &peerpb.Command_EvacuateZone{EvacuateZone: &peerpb.EvacuateZone{Zone: b.Zone, By: b.By, At: int64(b.At)}}
+	case state.ReturnZone:
+		m.Body = &peerpb.Command_ReturnZone{ReturnZone: &peerpb.ReturnZone{Zone: b.Zone, By: b.By, At: int64(b.At)}}
 	case state.Barrier:
 		m.Body = &peerpb.Command_Barrier{Barrier: &peerpb.Barrier{}}
 	}
@@ -113,6 +117,12 @@
 		c.Body = state.RecordCrashes{At: clock.Instant(b.RecordCrashes.GetAt()), Evidence: EvidenceFromPB(b.RecordCrashes.GetEvidence())}
 	case *peerpb.Command_RecordSpending:
 		c.Body = state.RecordSpending{Records: spendingFromPB(b.RecordSpending.GetRecords())}
+	case *peerpb.Command_EvacuateZone:
+		p := b.EvacuateZone
+		c.Body = state.EvacuateZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt())}
+	case *peerpb.Command_ReturnZone:
+		p := b.ReturnZone
+		c.Body = state.ReturnZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt())}
 	case *peerpb.Command_Barrier:
 		c.Body = state.Barrier{}
 	default:
@@ -198,6 +208,9 @@
 	}
 	m.Crashes = crashTableToPB(&s.Crashes)
 	m.Spending = spendingToPB(slices.Collect(maps.Values(s.Spending)))
+	for _, e := range s.Evacuations {
+		m.Evacuations = append(m.Evacuations, EvacuationToPB(e))
+	}
 	sortImage(m)
 	return encode(m)
 }
@@ -208,6 +221,7 @@
 	sortBy(m.Moves, (*peerpb.Move).GetService)
 	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
 	sortBy(m.Spending, (*peerpb.SpendingRecord).GetAccount)
+	sortBy(m.Evacuations, (*peerpb.EvacuationRecord).GetZone)
 	sortBy(m.Rollouts, func(r *peerpb.RolloutRecord) string { return r.GetMove().GetService() })
 	slices.SortFunc(m.Usage, func(a, b *peerpb.PutUsage) int { return cmp.Compare(a.Number, b.Number) })
 	slices.SortFunc(m.Once, func(a, b *peerpb.OnceRecord) int {
@@ -259,6 +273,9 @@
 	for _, r := range spendingFromPB(m.GetSpending()) {
 		s.Spending[r.Account] = r
 	}
+	for _, r := range m.GetEvacuations() {
+		s.Evacuations[r.GetZone()] = EvacuationFromPB(r)
+	}
 	s.Rebuild()
 	return s, nil
 }
@@ -279,6 +296,16 @@
 	return records
 }
 
+// EvacuationToPB returns the message for the evacuation of a zone.
+func EvacuationToPB(e state.Evacuation) *peerpb.EvacuationRecord {
+	return &peerpb.EvacuationRecord{Zone: e.Zone, Evacuated: e.Evacuated, Revision: e.Revision, Since: int64(e.Since), By: e.By}
+}
+
+// EvacuationFromPB returns the evacuation in a message.
+func EvacuationFromPB(m *peerpb.EvacuationRecord) state.Evacuation {
+	return state.Evacuation{Zone: m.GetZone(), Evacuated: m.GetEvacuated(), Revision: m.GetRevision(), Since: clock.Instant(m.GetSince()), By: m.GetBy()}
+}
+
 // RolloutToPB returns the message for a rollout.
 func RolloutToPB(r *state.Rollout) *peerpb.RolloutRecord {
 	return &peerpb.RolloutRecord{Move: moveToPB(&r.Move), Withdrawn: r.Withdrawn}
