--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -16,22 +16,37 @@
 // Evacuate commits an operator's request to send nothing more to the backend servers of an availability zone. A repeated
 // request is acknowledged and changes nothing.
 func (c *Core) Evacuate(ctx context.Context, zone, by string) error {
-	if !valid.IsText(zone) {
-		return fault.New(fault.Invalid, "%s is no name of an availability zone", valid.Quote(zone)).Remedy("send at most 256 printable characters")
+	if err := checkZone(zone); err != nil {
+		return err
 	}
 	if !c.mayExist(zone) {
 		return fault.New(fault.Invalid, "no server, daemon or price is in the availability zone %s", valid.Quote(zone)).
 			Remedy("check the name, for instance against the zones of the rules")
 	}
-	return c.changeEvacuation(ctx, zone, state.EvacuateZone{Zone: zone, By: by, At: c.Follower.ClusterTime()})
+	return c.changeEvacuation(ctx, zone, state.EvacuateZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
 }
 
 // ReturnZone commits an operator's request to end the evacuation of an availability zone.
 func (c *Core) ReturnZone(ctx context.Context, zone, by string) error {
-	if !valid.IsText(zone) {
-		return fault.New(fault.Invalid, "%s is no name of an availability zone", valid.Quote(zone)).Remedy("send at most 256 printable characters")
+	if err := checkZone(zone); err != nil {
+		return err
+	}
+	return c.changeEvacuation(ctx, zone, state.ReturnZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
+}
+
+func checkZone(zone string) error {
+	if zone == "" || !valid.IsText(zone) {
+		return fault.New(fault.Invalid, "%s is no name of an availability zone", valid.Quote(zone)).Remedy("send 1 to 256 printable characters")
+	}
+	return nil
+}
+
+// operatorName returns the name of an operator as it is recorded. An unusable one does not hold up the order.
+func operatorName(by string) string {
+	if !valid.IsText(by) {
+		return ""
 	}
-	return c.changeEvacuation(ctx, zone, state.ReturnZone{Zone: zone, By: by, At: c.Follower.ClusterTime()})
+	return by
 }
 
 func (c *Core) changeEvacuation(ctx context.Context, zone string, body state.Body) error {
--- a/internal/hops/hops_test.go
+++ b/internal/hops/hops_test.go
@@ -12,6 +12,7 @@
 		{From: "entry-1", Service: "engine", Remaining: 1500, After: -1},
 		{From: "entry-1", Service: "engine&x=1", Account: "atelier, o&=%", Remaining: 1, Urgency: 9, After: 0, Versions: []string{"v1"}, Avoid: []string{"i-1", "i-2"}},
 		{Nonce: "1y2p0ij32e8e7", From: "e", Service: "s", After: 12, Versions: []string{"v1", "v2"}},
+		{From: "e", Service: "s", After: -1, AvoidZones: []string{"porto a", "b&c"}},
 	} {
 		got, err := ParseRequest(want.Encode())
 		if err != nil || !reflect.DeepEqual(got, want) {
--- a/internal/scale/mix_test.go
+++ b/internal/scale/mix_test.go
@@ -173,6 +173,38 @@
 	}
 }
 
+// TestMixReplacesAnEvacuatedZone guards against replicas of an evacuated zone that count as serving, and against orders
+// there. The others must suffice after a boot time and one second.
+func TestMixReplacesAnEvacuatedZone(t *testing.T) {
+	const required = 12
+	for _, evacuated := range [][]int{{0}, {1, 3}, {0, 1, 2, 3}} {
+		w := newCloudSim(2)
+		for range 80 {
+			w.step(required)
+		}
+		targets := w.mix.Decide(w.now, required, Bounds{Min: 1, Max: 40, SpotPrice: 0.3}, w.zones)
+		for _, i := range evacuated {
+			w.zones[i].Evacuated = true
+		}
+		for step := range 60 {
+			w.now = w.now.Add(stepTime)
+			after := w.mix.Decide(w.now, required, Bounds{Min: 1, Max: 40, SpotPrice: 0.3}, w.zones)
+			serving := 0
+			for i, z := range w.zones {
+				switch {
+				case z.Evacuated && after[i] != targets[i]:
+					t.Fatalf("%v evacuated: got target %+v of zone %s, want %+v", evacuated, after[i], z.Name, targets[i])
+				case !z.Evacuated:
+					serving += after[i].Spot + after[i].OnDemand
+				}
+			}
+			if len(evacuated) < len(w.zones) && serving < required {
+				t.Fatalf("%v evacuated: got targets for %d replicas after %v, want %d", evacuated, serving, clock.Duration(step+1)*stepTime, required)
+			}
+		}
+	}
+}
+
 // TestDecisionEndsForAnyDemand guards against a decision whose steps grow with a wrong demand or bound.
 func TestDecisionEndsForAnyDemand(t *testing.T) {
 	zones := []Zone{{Name: "a", Price: 1}, {Name: "b", Price: 2}}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -54,7 +54,7 @@
 func drawBody(t *rapid.T) state.Body {
 	drawText := func(name string) string { return fmt.Sprint(rapid.IntRange(0, 3).Draw(t, name)) }
 	key := state.OnceKey{Account: "a", Route: "r", Key: drawText("key")}
-	switch rapid.IntRange(0, 11).Draw(t, "kind") {
+	switch rapid.IntRange(0, 13).Draw(t, "kind") {
 	case 0:
 		move := ""
 		if rapid.Bool().Draw(t, "moves") {
@@ -87,6 +87,10 @@
 		return state.RecordSpending{Records: []quota.Record{{
 			Account: "a" + drawText("account"), At: clock.Instant(rapid.IntRange(0, 90_000).Draw(t, "recordAt")), Spent: []float64{1.5, 0, 7},
 		}}}
+	case 11:
+		return state.EvacuateZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 300}
+	case 12:
+		return state.ReturnZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 400}
 	}
 	return state.EndOrder{Operation: drawText("order"), Fence: uint64(rapid.IntRange(0, 3).Draw(t, "fence")), Done: true}
 }
