--- a/internal/scale/mix_test.go
+++ b/internal/scale/mix_test.go
@@ -174,7 +174,7 @@
 }
 
 // TestMixReplacesAnEvacuatedZone guards against replicas of an evacuated zone that count as serving, and against orders
-// there. The others must suffice after a boot time and one second.
+// there. Enough others must be ordered in the next decision.
 func TestMixReplacesAnEvacuatedZone(t *testing.T) {
 	const required = 12
 	for _, evacuated := range [][]int{{0}, {1, 3}, {0, 1, 2, 3}} {
