--- a/cmd/swiftbeam/main.go
+++ b/cmd/swiftbeam/main.go
@@ -23,7 +23,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(daemonCommand(), demoCommand(), settingsCommand(), configCommand(), versionsCommand(), dumpCommand(), measureCommand(), replayCommand(), capacityCommand(),
-		emulateCommand(), callCommand(),
+		emulateCommand(), callCommand(), zoneCommand(),
 		nodeCommand(setup.Entry, "entry", "Run one entry daemon until SIGTERM"),
 		nodeCommand(setup.Core, "core", "Run one core daemon until SIGTERM"))
 	if err := root.Execute(); err != nil {
