--- a/internal/core/roster.go
+++ b/internal/core/roster.go
@@ -32,7 +32,13 @@
 	if r.ReclaimAt > 0 {
 		r.ReclaimAt = r.HeardAt.Add(clock.Duration(r.ReclaimAt))
 	}
-	return r.Check(r.HeardAt)
+	if err := r.Check(r.HeardAt); err != nil {
+		return err
+	}
+	if r.ColdFor > 0 {
+		r.ColdUntil = r.HeardAt.Add(r.ColdFor)
+	}
+	return nil
 }
 
 // mergeAnnouncement merges the record of an announcement unless it contradicts what is known of the servers.
@@ -106,7 +112,7 @@
 	now := c.table.ByID[r.ID]
 	c.announcedDirectly[r.ID] = direct
 	changed := old == nil || before.State != now.State || before.Born != now.Born || before.Address != now.Address ||
-		before.ReclaimAt == 0 && now.ReclaimAt > 0
+		before.ReclaimAt == 0 && now.ReclaimAt > 0 || c.coldChanged(&before, now)
 	if changed {
 		c.log.Info("backend server", "server", now.ID, "service", now.Service, "address", now.Address, "zone", now.Zone,
 			"state", now.State.String(), "sequence", now.Sequence, "born", int64(now.Born), "spot", now.Spot, "direct", direct)
@@ -114,6 +120,22 @@
 	c.Source.Publish(now, changed)
 }
 
+// coldTolerance is the difference between two announced ends of a cold time that is due to the time on the way.
+const coldTolerance = 300 * clock.Millisecond
+
+// coldChanged reports whether a server turned cold, or warm before the announced time, in a service whose cold servers
+// take few requests.
+func (c *Core) coldChanged(before, now *enrol.Record) bool {
+	set := c.ruleSet.Load()
+	if set == nil {
+		return false
+	}
+	if s := set.Service(now.Service); s == nil || s.ColdPerSecond <= 0 {
+		return false
+	}
+	return now.ColdUntil.Sub(max(before.ColdUntil, now.HeardAt)) > coldTolerance || before.ColdUntil.Sub(max(now.ColdUntil, now.HeardAt)) > coldTolerance
+}
+
 // checkFollowed returns an error if entry daemons may not receive what this daemon publishes: they follow
 // the members of the group, and a daemon without a leader may have been removed from it.
 func (c *Core) checkFollowed() error {
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -131,6 +131,7 @@
 	}
 	out.PauseMs = int64(d.pacer.Count(now))
 	out.Entries, out.Rank = uint32(d.loads.Daemons(now)), uint32(d.loads.Rank(name))
+	out.Followers = uint32(c.Source.Entries())
 	set := c.ruleSet.Load()
 	if set == nil {
 		return out
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,7 @@
 	"swiftbeam/internal/runner"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/valid"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
@@ -128,7 +129,7 @@
 	e.PeerPool = &pool.Pool{Clock: e.clock}
 	e.Proxy = &proxy.Proxy{
 		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, ClusterTime: func() clock.Instant { return e.Follower.ClusterTime() },
-		RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure),
+		RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure), ColdBurst: turns.Burst(s.Cold),
 		Retries: retry.Budget{Ratio: retryBudgetFraction * s.Retries.Ratio, Slack: retryBudgetFraction * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
 	e.Proxy.ReportCrashes = e.triggerReport
@@ -160,6 +161,7 @@
 		meter.RegisterGauge(r, name, counter.Load)
 	}
 	meter.RegisterGauge(r, "entry.inFlight", e.Proxy.InFlight)
+	meter.RegisterGauge(r, "entry.coldServers", e.Proxy.ColdServers)
 	meter.RegisterGauge(r, "entry.rulesVersion", func() int64 {
 		if set := e.Proxy.Rules(); set != nil {
 			return int64(set.Version)
@@ -199,6 +201,7 @@
 	e.group.Go(func() { e.runReports(ctx) })
 	e.group.Go(func() {
 		runner.Every(ctx, sweepInterval, func() {
+			e.Proxy.EndCold()
 			e.Pool.CloseExpired()
 			e.PeerPool.CloseExpired()
 		})
@@ -407,6 +410,18 @@
 			e.log.Info("quota in force", "account", a.Name, "rate", a.Rate, "burst", a.Burst, "rulesVersion", set.Version)
 		}
 		e.firstRulesAt.CompareAndSwap(0, int64(e.clock.Now()))
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for id := range e.routedServers {
+			e.updateCold(e.table.ByID[id])
+		}
+	}
+}
+
+// updateCold passes on how long a server is still cold.
+func (e *Edge) updateCold(r *enrol.Record) {
+	if r != nil {
+		e.Proxy.SetCold(r.Service, notice.Server{ID: r.ID, Born: r.Born}, max(r.ColdUntil.Sub(e.clock.Now()), 0))
 	}
 }
 
@@ -446,6 +461,9 @@
 		if e.table.Merge(r) {
 			changed = true
 			e.log.Info("backend server", "server", r.ID, "service", r.Service, "address", r.Address, "state", r.State.String(), "sequence", r.Sequence)
+			if e.routedServers[r.ID] != nil {
+				e.updateCold(e.table.ByID[r.ID])
+			}
 		}
 	}
 	if changed {
@@ -489,6 +507,7 @@
 		s := &place.Server{ID: id, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Spot: r.Spot, Born: r.Born}
 		e.routedServers[id] = s
 		e.Proxy.UpdateNotices(func(b *notice.Board) { b.Routed(notice.Server{ID: id, Born: r.Born}) })
+		e.updateCold(r)
 		e.Proxy.UpdateService(r.Service, func(svc *proxy.ServiceState) { svc.Add(s) })
 	}
 }
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -10,6 +10,7 @@
 	"swiftbeam/internal/detour"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/loads"
+	"swiftbeam/internal/notice"
 	"swiftbeam/internal/pace"
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/proxy"
@@ -294,6 +295,10 @@
 		limits.Counted = m.GetCountsRejections()
 		limits.Join(now, turns.Member{Rank: int(m.GetRank()), Count: entries})
 	})
+	e.Proxy.UpdateNotices(func(b *notice.Board) {
+		// Soon after an election few daemons have reported, and each would take itself for one of few.
+		b.Cold.Join(e.Follower.ClusterTime(), turns.Member{Rank: int(m.GetRank()), Count: max(entries, int(m.GetFollowers()))})
+	})
 	e.Proxy.LearnLimits(wire.LimitsFromPB(m.GetLimits()))
 	r := e.Settings.Retries
 	e.Proxy.WithState(func(services map[string]*proxy.ServiceState, limiter *quota.Limiter, _ *usage.Counter) {
--- a/internal/enrol/enrol.go
+++ b/internal/enrol/enrol.go
@@ -49,8 +49,9 @@
 	Spot bool
 	// ReclaimAt is the time at which the server's VM is reclaimed; zero if unknown.
 	ReclaimAt clock.Instant
-	// ColdFor is the remaining time for which the server is slow after its start.
-	ColdFor clock.Duration
+	// ColdFor is the remaining time for which the server is cold, as it was announced. ColdUntil is the end of that time.
+	ColdFor   clock.Duration
+	ColdUntil clock.Instant
 	// HeardAt is the time of the last announcement, UpAt that of an earlier one, at which the server was up: the last one
 	// alone may have been late.
 	HeardAt clock.Instant
@@ -141,6 +142,9 @@
 		if r.State == Silent {
 			r.HeardAt = old.HeardAt
 		}
+		if r.State == Silent || r.Address == "" {
+			r.ColdUntil = old.ColdUntil
+		}
 		if r.Sequence > old.Sequence {
 			r.UpAt = crash.UpAt(old.UpAt, old.HeardAt, r.HeardAt)
 		}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -51,6 +51,8 @@
 	// Limits has the limits, Gate the room of brittle servers, by the ID of the server.
 	Limits turns.Limiter
 	Gate   frail.Gate
+	// Cold has the limits of servers that are cold, by the ID of the server.
+	Cold turns.Limiter
 
 	byID map[string]*entry
 	// sweptAt is when entries of servers that have gone were last dropped.
@@ -114,6 +116,7 @@
 func (b *Board) forget(id string) {
 	delete(b.byID, id)
 	b.Limits.Forget(id)
+	b.Cold.Forget(id)
 	b.Gate.Forget(id)
 }
 
@@ -179,6 +182,30 @@
 	return e != nil && e.born == s.Born && e.leaving
 }
 
+// Warming is what a cold server takes: PerSecond requests a second from all daemons together, until a time of the clock
+// that the daemons agree on.
+type Warming struct {
+	PerSecond float64
+	Burst     turns.Burst
+	Until     clock.Instant
+}
+
+// SetCold records until when a server is cold, and reports whether it was warm before, or is now.
+func (b *Board) SetCold(clusterTime clock.Instant, s Server, w Warming) (changed bool) {
+	if e := b.byID[s.ID]; e != nil && e.born != s.Born {
+		return false
+	}
+	known := b.Cold.Knows(s.ID)
+	if w.PerSecond <= 0 || w.Until <= clusterTime {
+		b.Cold.Forget(s.ID)
+		return known
+	}
+	b.Cold.Observe(turns.Limit{
+		Server: s.ID, Limited: true, PerSecond: w.PerSecond, Until: w.Until, Carried: w.Burst.Carried(w.PerSecond), ObservedAt: clusterTime,
+	})
+	return !known
+}
+
 // Takes reports whether a server that was chosen before still takes a request: it has not said since that it
 // leaves or wants none.
 func (b *Board) Takes(now clock.Instant, s Server) bool {
@@ -189,12 +216,12 @@
 // Excludes reports whether a server must not be chosen now. Brittle servers are not excluded: Gate decides on each
 // request.
 func (b *Board) Excludes(now, clusterTime clock.Instant, s Server) bool {
-	return !b.Takes(now, s) || !b.Limits.Allows(clusterTime, s.ID)
+	return !b.Takes(now, s) || !b.Limits.Allows(clusterTime, s.ID) || !b.Cold.Allows(clusterTime, s.ID)
 }
 
 // Wait returns the time until a server takes requests again, and false if it leaves.
 func (b *Board) Wait(now, clusterTime clock.Instant, s Server) (clock.Duration, bool) {
-	wait := b.Limits.Wait(clusterTime, s.ID)
+	wait := max(b.Limits.Wait(clusterTime, s.ID), b.Cold.Wait(clusterTime, s.ID))
 	e := b.byID[s.ID]
 	if e == nil || e.born != s.Born {
 		return wait, true
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -69,6 +69,7 @@
 		}
 		if !p.notices.Limits.IsBrittle(choice.Server.ID) || p.notices.Gate.Allows(x.brittleQuery(service, choice.Server)) {
 			p.notices.Limits.Take(p.ClusterTime(), choice.Server.ID)
+			x.turnUntil = p.notices.Cold.Take(p.ClusterTime(), choice.Server.ID)
 			return choice
 		}
 		x.noRoom = true
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -50,6 +50,8 @@
 	brokenHelpers   []string
 	helper          string
 	askedForHelpers bool
+	// turnUntil is the time until which the attempt may be sent to a cold server; zero if the server is warm.
+	turnUntil clock.Instant
 	// noRoom is set if brittle servers had no room for the last attempt.
 	noRoom bool
 	// hopRetryAfter is the longest time that a helper named until a server takes requests.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -269,7 +269,7 @@
 	}
 	// The server may have said so while the request waited for the connection.
 	p.mu.Lock()
-	takes := p.notices.Takes(p.Clock.Now(), noticeServer(server))
+	takes := p.notices.Takes(p.Clock.Now(), noticeServer(server)) && p.notices.Cold.MaySend(p.ClusterTime(), server.ID, x.turnUntil)
 	p.mu.Unlock()
 	if !takes {
 		conn.Release(conn.UsedAt > 0)
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -61,6 +61,39 @@
 	change(&p.notices)
 }
 
+// SetCold records how long a server of a service is still cold.
+func (p *Proxy) SetCold(service string, server notice.Server, remaining clock.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.ClusterTime()
+	w := notice.Warming{PerSecond: p.serviceState(service).ColdPerSecond, Burst: p.ColdBurst, Until: now.Add(remaining)}
+	if !p.notices.SetCold(now, server, w) {
+		return
+	}
+	if remaining > 0 && w.PerSecond > 0 {
+		p.Log.Info("backend server cold", "server", server.ID, "service", service, "perSecond", w.PerSecond, "forMs", int64(remaining))
+	} else {
+		p.Log.Info("backend server warm", "server", server.ID)
+	}
+}
+
+// EndCold ends the limits of servers that have become warm.
+func (p *Proxy) EndCold() {
+	p.mu.Lock()
+	ended := p.notices.Cold.Expire(p.ClusterTime())
+	p.mu.Unlock()
+	for _, server := range ended {
+		p.Log.Info("backend server warm", "server", server)
+	}
+}
+
+// ColdServers returns the number of servers that are cold.
+func (p *Proxy) ColdServers() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(p.notices.Cold.Len())
+}
+
 // UnsentLimits returns up to n request limits of servers that the leader does not have yet.
 func (p *Proxy) UnsentLimits(n int) []turns.Limit {
 	p.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,6 +33,7 @@
 	"swiftbeam/internal/spans"
 	"swiftbeam/internal/spool"
 	"swiftbeam/internal/state"
+	"swiftbeam/internal/turns"
 	"swiftbeam/internal/usage"
 	"swiftbeam/pkg/clock"
 )
@@ -68,7 +69,9 @@
 	Retries      retry.Budget
 	// Exposure bounds the requests of all daemons to a version that is not proven yet.
 	Exposure moves.Bound
-	Counts   Counts
+	// ColdBurst bounds the requests of all daemons to a cold server in a second.
+	ColdBurst turns.Burst
+	Counts    Counts
 	// ObserveFirstResponse is called with the time to the first event or response of each request;
 	// it may be nil.
 	ObserveFirstResponse func(took clock.Duration)
@@ -115,6 +118,8 @@
 	Path        detour.Path
 	Budget      retry.Budget
 	Connections int
+	// ColdPerSecond is the number of requests a second that a cold server takes from all daemons; zero for no limit.
+	ColdPerSecond float64
 	// Rollout is the service's rollout of the highest revision received, or nil.
 	Rollout *state.Rollout
 	// Starts is what the daemon has learned of the first events of streams, by the version of the server.
@@ -258,6 +263,7 @@
 
 func (p *Proxy) configure(s *ServiceState, service *rules.Service) {
 	s.Connections = service.Connections
+	s.ColdPerSecond = service.ColdPerSecond
 	if service.Engine != nil {
 		s.EventTokens = max(service.Engine.EventTokens, 1)
 	}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -71,8 +71,12 @@
 	// Connections is the largest number of connections to one server, from all entry daemons
 	// together.
 	Connections int
-	Engine      *Engine
-	Scaling     *Scaling
+	// ColdPerSecond is the number of requests a second that a cold server tolerates from all entry daemons together;
+	// zero means that coldness sets no limit. ColdStart is how long a server is cold after its start.
+	ColdPerSecond float64
+	ColdStart     clock.Duration
+	Engine        *Engine
+	Scaling       *Scaling
 }
 
 // Engine describes the model engines of a service.
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -54,6 +54,13 @@
 	Quota       Quota
 	Duties      Duties
 	Exposure    Exposure
+	Cold        Cold
+}
+
+// Cold bounds the requests to a cold server in any second: Overrun times the rate that it tolerates, and Slack requests.
+type Cold struct {
+	Overrun float64
+	Slack   float64
 }
 
 // Exposure bounds the requests that a regressed version may receive in a rollout: Part is a fraction
@@ -200,6 +207,13 @@
 		s.Retries.Window = b.Duration("window", s.Retries.Window)
 		b.End()
 	}
+	s.Cold = Cold{Overrun: 1}
+	if n, ok := o.Get("cold"); ok {
+		b := n.Object()
+		s.Cold.Overrun = b.Float("overrun", 1, 1, 1e3)
+		s.Cold.Slack = b.Float("slack", 0, 0, 1e9)
+		b.End()
+	}
 	s.Exposure = Exposure{Part: defaultExposure}
 	if n, ok := o.Get("exposure"); ok {
 		b := n.Object()
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -32,6 +32,10 @@
 	// daemons together.
 	Limited   bool
 	PerSecond float64
+	// Until is when the limit ends by itself; zero means that it does not.
+	Until clock.Instant
+	// Carried is the number of turns for which each may be used; zero means the usual one.
+	Carried float64
 	// Brittle reports whether the server falls over when it has to turn away more than Tolerated requests a
 	// second. RejectedAt is when it last turned one away for want of room.
 	Brittle    bool
@@ -50,7 +54,12 @@
 	return l.sameLimit(o) && l.Brittle == o.Brittle && l.Tolerated == o.Tolerated && l.RejectedAt == o.RejectedAt && l.ExceededAt == o.ExceededAt
 }
 
-func (l *Limit) sameLimit(o *Limit) bool { return l.Limited == o.Limited && l.PerSecond == o.PerSecond }
+func (l *Limit) sameLimit(o *Limit) bool {
+	return l.Limited == o.Limited && l.PerSecond == o.PerSecond && l.Carried == o.Carried
+}
+
+// inForce reports whether requests need turns now.
+func (l *Limit) inForce(now clock.Instant) bool { return l.Limited && (l.Until == 0 || now < l.Until) }
 
 // empty reports whether the server takes all requests.
 func (l *Limit) empty() bool { return !l.Limited && !l.Brittle }
@@ -204,35 +213,70 @@
 // Allows reports whether this daemon may send a request to a server now.
 func (m *Limiter) Allows(now clock.Instant, server string) bool {
 	s := m.byServer[server]
-	if s == nil || !s.Limited {
+	if s == nil || !s.inForce(now) {
 		return true
 	}
 	_, ok := m.turn(now, s)
 	return ok
 }
 
-// Take uses up the turn for a request. Call it only after Allows.
-func (m *Limiter) Take(now clock.Instant, server string) {
+// Take uses up the turn for a request, and returns the time until which the request may be sent; zero if it needs no
+// turn. Call it only after Allows.
+func (m *Limiter) Take(now clock.Instant, server string) clock.Instant {
 	s := m.byServer[server]
-	if s == nil || !s.Limited {
-		return
+	if s == nil || !s.inForce(now) {
+		return 0
+	}
+	turn, ok := m.turn(now, s)
+	if !ok {
+		return 0
+	}
+	s.usedUntil = (turn + 1) / s.rate()
+	return clock.Instant((turn + s.carried()) / s.rate())
+}
+
+// MaySend reports whether a request with a turn that may be used until a time may be sent now. Without such a turn, it
+// takes another one.
+func (m *Limiter) MaySend(now clock.Instant, server string, until clock.Instant) bool {
+	if s := m.byServer[server]; s == nil || !s.inForce(now) || now <= until {
+		return true
 	}
-	if turn, ok := m.turn(now, s); ok {
-		s.usedUntil = (turn + 1) / s.rate()
+	if !m.Allows(now, server) {
+		return false
+	}
+	m.Take(now, server)
+	return true
+}
+
+// Expire drops the limits that have ended by themselves, and returns their servers.
+func (m *Limiter) Expire(now clock.Instant) (ended []string) {
+	for server, s := range m.byServer {
+		if s.Limited && !s.inForce(now) {
+			delete(m.byServer, server)
+			ended = append(ended, server)
+		}
 	}
+	return ended
 }
 
+// Len returns the number of servers of which something is known.
+func (m *Limiter) Len() int { return len(m.byServer) }
+
 // Wait returns the time until this daemon's next turn at a server; zero if it may send now.
 func (m *Limiter) Wait(now clock.Instant, server string) clock.Duration {
 	s := m.byServer[server]
 	if m.Allows(now, server) {
 		return 0
 	}
-	if m.member.Count == 0 {
-		return refreshInterval
+	wait := refreshInterval
+	if m.member.Count > 0 {
+		next := m.ownedFrom(s, math.Floor(float64(now)*s.rate())+1)
+		wait = clock.Duration(next/s.rate() - float64(now))
+	}
+	if s.Until > 0 {
+		wait = min(wait, s.Until.Sub(now))
 	}
-	next := m.ownedFrom(s, math.Floor(float64(now)*s.rate())+1)
-	return clock.Duration(next/s.rate() - float64(now))
+	return wait
 }
 
 // turn returns the first turn of this daemon that may be used now.
@@ -242,8 +286,7 @@
 	}
 	rate := s.rate()
 	current := math.Floor(float64(now) * rate)
-	carried := math.Floor(carriedTurns + float64(carriedTime)*rate)
-	first := max(current-carried+1, math.Ceil(s.usedUntil*rate-rounding))
+	first := max(current-s.carried()+1, math.Ceil(s.usedUntil*rate-rounding))
 	turn := m.ownedFrom(s, first)
 	return turn, turn <= current
 }
@@ -268,6 +311,26 @@
 // rate returns the number of turns in a millisecond.
 func (l *Limit) rate() float64 { return max(l.PerSecond, minPerSecond) / float64(clock.Second) }
 
+// carried returns the number of turns for which each may be used.
+func (l *Limit) carried() float64 {
+	if l.Carried > 0 {
+		return math.Floor(l.Carried)
+	}
+	return math.Floor(carriedTurns + float64(carriedTime)*l.rate())
+}
+
+// Burst is how far a rate may be exceeded within a second: to Overrun times the rate and Slack requests.
+type Burst struct {
+	Overrun float64
+	Slack   float64
+}
+
+// Carried returns the number of turns for which each may be used, so that half of what a second may have above the rate
+// is left for requests that are on their way for different times.
+func (b Burst) Carried(perSecond float64) float64 {
+	return max(math.Floor((b.Overrun*perSecond+b.Slack-perSecond-1)/2), 1)
+}
+
 // Unsent returns up to n limits that the leader does not have yet.
 func (m *Limiter) Unsent(now clock.Instant, n int) []Limit {
 	var list []Limit
--- a/internal/wire/feed.go
+++ b/internal/wire/feed.go
@@ -13,13 +13,16 @@
 	"swiftbeam/pkg/clock"
 )
 
-// RecordToPB returns the message for a record of a backend server. The reclaim instant becomes a
-// duration from now, so that it does not depend on the receiver's clock.
+// RecordToPB returns the message for a record of a backend server. Its instants become
+// durations from now, so that they do not depend on the receiver's clock.
 func RecordToPB(now clock.Instant, r *enrol.Record) *peerpb.ServerRecord {
 	m := &peerpb.ServerRecord{
 		Id: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: uint32(max(r.Slots, 0)),
 		State: uint32(r.State), Born: int64(r.Born), Sequence: r.Sequence, Spot: r.Spot, ColdFor: int64(r.ColdFor),
 	}
+	if r.ColdUntil > 0 {
+		m.ColdFor = int64(max(r.ColdUntil.Sub(now), 0))
+	}
 	if r.ReclaimAt > 0 {
 		m.ReclaimIn = int64(max(r.ReclaimAt.Sub(now), 1))
 	}
@@ -37,7 +40,13 @@
 	if m.GetReclaimIn() > 0 {
 		r.ReclaimAt = now.Add(min(clock.Duration(m.GetReclaimIn()), clock.MaxDuration))
 	}
-	return r, r.Check(now)
+	if err := r.Check(now); err != nil {
+		return r, err
+	}
+	if r.ColdFor > 0 {
+		r.ColdUntil = now.Add(r.ColdFor)
+	}
+	return r, nil
 }
 
 // LoadToPB returns the message for the load on a server.
