Cold: a server whose connections failed may have returned cold

Its next announcement takes time. It gets the rate of a cold server from this daemon until it says otherwise, for coldStart at most.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -413,16 +413,16 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		for id := range e.routedServers {
-			e.updateCold(e.table.ByID[id])
+			if r := e.table.ByID[id]; r != nil && r.ColdUntil.After(e.clock.Now()) {
+				e.updateCold(r)
+			}
 		}
 	}
 }
 
 // updateCold passes on how long a server is still cold.
 func (e *Edge) updateCold(r *enrol.Record) {
-	if r != nil {
-		e.Proxy.SetCold(r.Service, notice.Server{ID: r.ID, Born: r.Born}, max(r.ColdUntil.Sub(e.clock.Now()), 0))
-	}
+	e.Proxy.SetCold(r.Service, notice.Server{ID: r.ID, Born: r.Born}, max(r.ColdUntil.Sub(e.clock.Now()), 0))
 }
 
 // changedQuotas returns the accounts whose quota is new or differs from that in old, which may be nil.
--- a/internal/notice/notice_test.go
+++ b/internal/notice/notice_test.go
@@ -115,3 +115,35 @@
 		t.Error("the next start leaves, want it not to")
 	}
 }
+
+// TestColdServersWarmUp checks that a cold server is excluded without a turn, until the announced time or the next start.
+func TestColdServersWarmUp(t *testing.T) {
+	s, next := Server{ID: "i-1", Born: 5}, Server{ID: "i-1", Born: 6}
+	b := &Board{}
+	b.Routed(s)
+	w := Warming{PerSecond: 0.1, Until: 4000}
+	if got := b.SetCold(1000, s, w); !got {
+		t.Errorf("change at the first announcement: got %v, want true", got)
+	}
+	if got := b.SetCold(1100, s, w); got {
+		t.Errorf("change at the next announcement: got %v, want false", got)
+	}
+	if !b.Excludes(1200, 1200, s) {
+		t.Errorf("a daemon without turns may choose a cold server, want it not to")
+	}
+	if got, ok := b.Wait(1200, 1200, s); got != 2800 || !ok {
+		t.Errorf("wait: got %v, %v, want until the server is warm", got, ok)
+	}
+	if b.Excludes(4000, 4000, s) {
+		t.Errorf("a server that has become warm is excluded, want it not to be")
+	}
+	if got := b.SetCold(1300, s, Warming{PerSecond: 0.1}); !got || b.Excludes(1300, 1300, s) {
+		t.Errorf("warm before the announced time: got change %v, want the server not to be excluded", got)
+	}
+	b.SetCold(1400, s, w)
+	b.Observe(1400, 1400, s, Said{Rest: 1})
+	b.Routed(next)
+	if b.Excludes(1500, 1500, next) {
+		t.Errorf("the next start is excluded for the coldness of the one before, want it not to be")
+	}
+}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -153,6 +153,7 @@
 	if brittle {
 		p.notices.Gate.Down(now, server.ID)
 	}
+	p.suspectCold(x.service, server)
 	if a.firstEventAt > 0 {
 		b.RespondedAt = toClusterTime(a.firstEventAt)
 	}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -342,6 +342,10 @@
 	if p.notices.Limits.IsBrittle(server.ID) {
 		p.notices.Gate.Down(now, server.ID)
 	}
+	// A silent path says nothing about the server; one that refuses connections has ended and may return cold.
+	if !suspect || errors.Is(err, syscall.ECONNREFUSED) {
+		p.suspectCold(x.service, server)
+	}
 	ejected, serviceTime := server.EjectedUntil.Sub(now), p.serviceState(x.service).Costs.ServiceTime
 	p.mu.Unlock()
 	p.Log.Info("could not connect to backend server", "id", x.request.ID, "server", server.ID, "service", x.service, "address", server.Address,
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -77,6 +77,17 @@
 	}
 }
 
+// suspectCold records that a server may have started again without this daemon's knowledge: connections to it failed, and
+// its next announcement takes time. The caller holds the lock.
+func (p *Proxy) suspectCold(service string, s *place.Server) {
+	svc, now := p.serviceState(service), p.ClusterTime()
+	server, w := noticeServer(s), notice.Warming{PerSecond: svc.ColdPerSecond, Burst: p.ColdBurst, Until: now.Add(svc.ColdStart)}
+	if w.PerSecond <= 0 || p.notices.Cold.Ends(s.ID).After(w.Until) || !p.notices.SetCold(now, server, w) {
+		return
+	}
+	p.Log.Info("backend server may be cold", "server", s.ID, "service", service, "perSecond", w.PerSecond, "forMs", int64(svc.ColdStart))
+}
+
 // EndCold ends the limits of servers that have become warm.
 func (p *Proxy) EndCold() {
 	p.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -120,6 +120,8 @@
 	Connections int
 	// ColdPerSecond is the number of requests a second that a cold server takes from all daemons; zero for no limit.
 	ColdPerSecond float64
+	// ColdStart is how long a server is cold after its start.
+	ColdStart clock.Duration
 	// Rollout is the service's rollout of the highest revision received, or nil.
 	Rollout *state.Rollout
 	// Starts is what the daemon has learned of the first events of streams, by the version of the server.
@@ -263,7 +265,7 @@
 
 func (p *Proxy) configure(s *ServiceState, service *rules.Service) {
 	s.Connections = service.Connections
-	s.ColdPerSecond = service.ColdPerSecond
+	s.ColdPerSecond, s.ColdStart = service.ColdPerSecond, service.ColdStart
 	if service.Engine != nil {
 		s.EventTokens = max(service.Engine.EventTokens, 1)
 	}
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -259,6 +259,14 @@
 	return ended
 }
 
+// Ends returns when the limit of a server ends by itself; zero if none does.
+func (m *Limiter) Ends(server string) clock.Instant {
+	if s := m.byServer[server]; s != nil {
+		return s.Until
+	}
+	return 0
+}
+
 // Len returns the number of servers of which something is known.
 func (m *Limiter) Len() int { return len(m.byServer) }
 
