--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -61,6 +61,64 @@
 	change(&p.notices)
 }
 
+// SetCold records how long a server of a service is still cold.
+func (p *Proxy) SetCold(service string, server notice.Server, remaining clock.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.ClusterTime()
+	w := notice.Warming{PerSecond: p.serviceState(service).ColdPerSecond, Burst: p.ColdBurst, Until: now.Add(remaining)}
+	if !p.notices.SetCold(now, server, w) {
+		return
+	}
+	if remaining > 0 && w.PerSecond > 0 {
+		p.Log.Info("backend server cold", "server", server.ID, "service", service, "perSecond", w.PerSecond, "forMs", int64(remaining))
+	} else {
+		p.Log.Info("backend server warm", "server", server.ID)
+	}
+}
+
+// suspectCold records that a server may have started again without this daemon's knowledge: connections to it failed, and
+// its next announcement takes time. The caller holds the lock.
+func (p *Proxy) suspectCold(service string, s *place.Server) {
+	svc, now := p.serviceState(service), p.ClusterTime()
+	server, w := noticeServer(s), notice.Warming{PerSecond: svc.ColdPerSecond, Burst: p.ColdBurst, Until: now.Add(svc.ColdStart)}
+	if w.PerSecond <= 0 || p.notices.Cold.Ends(s.ID).After(w.Until) || !p.notices.SetCold(now, server, w) {
+		return
+	}
+	p.Log.Info("backend server may be cold", "server", s.ID, "service", service, "perSecond", w.PerSecond, "forMs", int64(svc.ColdStart))
+}
+
+// ZoneReturns records that servers of an availability zone get requests again. While they got none they may have turned
+// cold, and the announcement of that may be on its way.
+func (p *Proxy) ZoneReturns(zone string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, service := range p.services {
+		for _, s := range service.Servers {
+			if s.Zone == zone && !p.notices.Cold.Knows(s.ID) {
+				p.suspectCold(name, s)
+			}
+		}
+	}
+}
+
+// EndCold ends the limits of servers that have become warm.
+func (p *Proxy) EndCold() {
+	p.mu.Lock()
+	ended := p.notices.Cold.Expire(p.ClusterTime())
+	p.mu.Unlock()
+	for _, server := range ended {
+		p.Log.Info("backend server warm", "server", server)
+	}
+}
+
+// ColdServers returns the number of servers that are cold.
+func (p *Proxy) ColdServers() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int64(p.notices.Cold.Len())
+}
+
 // UnsentLimits returns up to n request limits of servers that the leader does not have yet.
 func (p *Proxy) UnsentLimits(n int) []turns.Limit {
 	p.mu.Lock()
