Intake: clients outside the limits end no process

The body of a caller, of an operator and of a stranger at the links of core daemons was held whole, each up to its limit, without a bound over all and without an end in time; heads at readiness, metrics and core daemons were read up to a megabyte; connections with unfinished requests took all descriptors. Now a long body takes its memory from a part of the process's memory as it arrives, and gives it up to others if it makes no progress; a body ends by the deadline of its request; heads are bounded everywhere; of too many connections without a whole request the oldest is closed; the token of a link is checked before its body is read.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -20,6 +20,7 @@
 	"swiftbeam/internal/core"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/edge"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/logbuf"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/setup"
@@ -36,6 +37,8 @@
 	// memoryPercent is the share of the memory limit in the settings above which the garbage collector
 	// runs more often.
 	memoryPercent = 80
+	// probeHeaderBytes bounds the heads of requests for metrics.
+	probeHeaderBytes = 16 << 10
 )
 
 // node is an entry or core daemon.
@@ -97,12 +100,14 @@
 	log.Info("starting", "role", s.Role.String(), "zone", s.Zone, "seeds", s.Seeds, "found", s.Found, "go", runtime.Version())
 	registry := metrics.NewRegistry()
 	meter.RegisterGauge(registry, "log.linesDropped", logs.Dropped.Load)
-	n, err := startNode(ctx, s, log, registry)
+	limits := intake.FromMachine(s.MemoryBytes)
+	limits.Register(registry)
+	n, err := startNode(ctx, s, log, registry, limits)
 	if err != nil {
 		log.Error(err, "start failed")
 		return err
 	}
-	serveMetrics(s.Metrics, registry, log)
+	serveMetrics(s.Metrics, registry, limits, log)
 	awaitStop(signals, path, n, log)
 	log.Info("stopping")
 	stop, cancel := context.WithTimeout(ctx, s.StopTimeout.Std()*19/20)
@@ -171,7 +176,7 @@
 }
 
 // serveMetrics serves the metrics endpoint. If it cannot listen, the daemon runs without it.
-func serveMetrics(address string, registry metrics.Registry, log logr.Logger) {
+func serveMetrics(address string, registry metrics.Registry, limits *intake.Limits, log logr.Logger) {
 	if address == "" {
 		return
 	}
@@ -182,17 +187,18 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", meter.Handler(registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: time.Second, MaxHeaderBytes: probeHeaderBytes}
+	limits.Track(server)
 	go func() { _ = server.Serve(l) }()
 }
 
-func startNode(ctx context.Context, s *setup.Node, log logr.Logger, registry metrics.Registry) (node, error) {
+func startNode(ctx context.Context, s *setup.Node, log logr.Logger, registry metrics.Registry, limits *intake.Limits) (node, error) {
 	c := clock.Start()
 	if s.Role == setup.Entry {
-		e := edge.New(s, edge.Options{Log: log, Clock: c, Dialect: platform.CallerDialect{}, Decode: platform.DecodeRules, Metrics: registry})
+		e := edge.New(s, edge.Options{Log: log, Clock: c, Dialect: platform.CallerDialect{}, Decode: platform.DecodeRules, Metrics: registry, Limits: limits})
 		return e, e.Start(ctx)
 	}
-	options := core.Options{Log: log, Clock: c, Decode: platform.DecodeRules, Metrics: registry}
+	options := core.Options{Log: log, Clock: c, Decode: platform.DecodeRules, Metrics: registry, Limits: limits}
 	if s.Duties.Address != "" {
 		options.Cloud = &platform.Cloud{Address: s.Duties.Address, HTTP: duty.NewClient()}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,6 +27,7 @@
 	"swiftbeam/internal/feed"
 	"swiftbeam/internal/group"
 	"swiftbeam/internal/guard"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/peers"
 	"swiftbeam/internal/quorum"
@@ -43,6 +44,8 @@
 
 // Settings of the replication group.
 const (
+	// headerBytes bounds the heads of calls.
+	headerBytes = 64 << 10
 	// ElectionTimeout allows for a sync on a slow disk and two round trips.
 	ElectionTimeout = 600 * clock.Millisecond
 	Heartbeat       = 120 * clock.Millisecond
@@ -75,6 +78,8 @@
 	Cloud  Cloud
 	// Metrics is the registry for the daemon's metrics; nil disables them.
 	Metrics metrics.Registry
+	// Limits bounds what clients use of the process; nil derives it from the settings.
+	Limits *intake.Limits
 	// Dial replaces the dial function of the calls to other daemons in tests.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// OpenDisk replaces disk.Open in tests.
@@ -131,6 +136,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.Start()
 	}
+	if o.Limits == nil {
+		o.Limits = intake.FromMachine(s.MemoryBytes)
+	}
 	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool), withoutStart: make(map[string]clock.Instant)}
 	c.started = c.clock.Now()
 	c.duties.tenure.Start(c.started)
@@ -242,7 +250,8 @@
 func (c *Core) Serve(control http.Handler) error {
 	mux := http.NewServeMux()
 	server := &peers.Server{Token: c.Settings.PeerToken, Store: c.Store, Net: c.Net}
-	mux.Handle(server.Handler())
+	path, messages := server.Handler()
+	mux.Handle(path, peers.RequireToken(c.Settings.PeerToken, messages))
 	path, stream := peerpbconnect.NewFeedHandler(c, connect.WithCompressMinBytes(peers.CompressMinBytes))
 	mux.Handle(path, peers.RequireToken(c.Settings.PeerToken, stream))
 	for address, handler := range map[string]http.Handler{c.Settings.Peers: mux, c.Settings.Control: control} {
@@ -250,7 +259,8 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: headerBytes}
+		c.options.Limits.Track(server)
 		c.httpServers = append(c.httpServers, server)
 		go func() { _ = server.Serve(l) }()
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -295,7 +295,8 @@
 		CrashCollector: d.Guard,
 	}
 	mux := http.NewServeMux()
-	mux.Handle(server.Handler())
+	path, messages := server.Handler()
+	mux.Handle(path, peers.RequireToken(d.Settings.PeerToken, messages))
 	tunnels := peers.RequireToken(d.Settings.PeerToken, d.tunnelHandler)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"swiftbeam/internal/detour"
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/feed"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/meter"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/notice"
@@ -62,6 +63,8 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
 	headerBytes   = 64 << 10
+	// probeHeaderBytes bounds the heads of readiness checks.
+	probeHeaderBytes = 16 << 10
 )
 
 // Options are the replaceable parts of an entry daemon.
@@ -72,6 +75,8 @@
 	Decode  func(text []byte) (*rules.Set, error)
 	// Metrics is where the daemon registers its metrics; nil registers none.
 	Metrics metrics.Registry
+	// Limits bounds what clients use of the process; nil derives it from the settings.
+	Limits *intake.Limits
 }
 
 // Edge is one entry daemon.
@@ -118,6 +123,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.Start()
 	}
+	if o.Limits == nil {
+		o.Limits = intake.FromMachine(s.MemoryBytes)
+	}
 	e := &Edge{
 		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), routedServers: make(map[string]*place.Server),
 	}
@@ -209,7 +217,7 @@
 	}
 	abort.Guard(e.callerServer)
 	e.trackers = append(e.trackers, conns.Track(e.callerServer))
-	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: probeHeaderBytes}
 	servers := map[string]*http.Server{e.Settings.Callers: e.callerServer, e.Settings.Readiness: e.readinessServer}
 	if e.Settings.Peers != "" {
 		e.peerServer = &http.Server{
@@ -220,6 +228,7 @@
 		servers[e.Settings.Peers] = e.peerServer
 	}
 	for address, server := range servers {
+		e.options.Limits.Track(server)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/store"
 	"swiftbeam/internal/wire"
@@ -74,9 +75,12 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok || !EqualTokens(given, token) {
+			// The body is not read.
+			w.Header().Set("Connection", "close")
 			http.Error(w, "unknown peer token; give all daemons the same peerToken", http.StatusUnauthorized)
 			return
 		}
+		intake.Trust(r)
 		h.ServeHTTP(w, r)
 	})
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -8,11 +8,15 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"swiftbeam/internal/conns"
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/event"
 	"swiftbeam/internal/hops"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/rules"
 	"swiftbeam/internal/spool"
@@ -168,28 +172,23 @@
 	if x.rules.Limits.BodyBytes > 0 {
 		maxBody = x.rules.Limits.BodyBytes
 	}
-	if x.r.ContentLength > maxBody {
-		return x.bodyTooLarge(maxBody)
-	}
-	if x.r.ContentLength == 0 {
-		return true
-	}
+	deadline := x.arrived.Add(min(x.request.Wait, x.route.Timeout))
 	var err error
-	if x.r.ContentLength > 0 {
-		if x.body, err = readLength(x.r.Body, x.r.ContentLength); err != nil {
-			x.abandon("body cut short")
-			return false
-		}
+	x.body, err = intake.Read(x.r, maxBody, time.Now().Add(deadline.Sub(x.proxy.Clock.Now()).Std()))
+	if err == nil {
 		return true
 	}
-	if x.body, err = io.ReadAll(io.LimitReader(x.r.Body, maxBody+1)); err != nil {
+	// The rest of the body is not read.
+	x.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
+		x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(maxBody, 10)+" bytes; send less")
+	case errors.Is(err, intake.ErrFull):
+		x.refuse("too many long bodies arrive at the same time; retry later", noMemoryRetryAfter)
+	default:
 		x.abandon("body cut short")
-		return false
 	}
-	if int64(len(x.body)) > maxBody {
-		return x.bodyTooLarge(maxBody)
-	}
-	return true
+	return false
 }
 
 // maxBodyAtOnce is the length of a body up to which its memory is taken before it arrives.
@@ -208,12 +207,6 @@
 	return body.Bytes(), err
 }
 
-// bodyTooLarge rejects a body over the limit. It returns false, the result of readBody in that case.
-func (x *exchange) bodyTooLarge(maxBody int64) bool {
-	x.reply(http.StatusRequestEntityTooLarge, "rejected", "body over "+strconv.FormatInt(maxBody, 10)+" bytes; send less")
-	return false
-}
-
 // takeQuota charges the request to the account's quota. If the daemon's grants do not cover it, it
 // requests more from the leader and tries once again. If that fails too, it refuses the request and
 // reports false.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -147,6 +147,8 @@
 	noServerRetryAfter = 500 * clock.Millisecond
 	// noRoomRetryAfter is the time in which requests that brittle servers have now end.
 	noRoomRetryAfter = clock.Second
+	// noMemoryRetryAfter is the time in which bodies that do not end lose their memory to others.
+	noMemoryRetryAfter = clock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal, as callers give up after a longer wait.
 	maxRetryAfter  = 3 * clock.Second
 	defaultTimeout = clock.Minute
