Intake: a body may take as long as a head

A body that outlasts the timeout of its route was cut off without a response, as TestRequestsThatArriveLateInAPlannedStop showed; it gets at least 10 s now, and its caller the refusal that it got before.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -172,7 +172,7 @@
 	if x.rules.Limits.BodyBytes > 0 {
 		maxBody = x.rules.Limits.BodyBytes
 	}
-	deadline := x.arrived.Add(min(x.request.Wait, x.route.Timeout))
+	deadline := x.arrived.Add(max(min(x.request.Wait, x.route.Timeout), minBodyTime))
 	var err error
 	x.body, err = intake.Read(x.r, maxBody, time.Now().Add(deadline.Sub(x.proxy.Clock.Now()).Std()))
 	if err == nil {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -147,6 +147,9 @@
 	noServerRetryAfter = 500 * clock.Millisecond
 	// noRoomRetryAfter is the time in which requests that brittle servers have now end.
 	noRoomRetryAfter = clock.Second
+	// minBodyTime is how long a body may take to arrive even if the time of its request is shorter, so that the caller
+	// gets a response rather than a closed connection.
+	minBodyTime = 10 * clock.Second
 	// noMemoryRetryAfter is the time in which bodies that do not end lose their memory to others.
 	noMemoryRetryAfter = clock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal, as callers give up after a longer wait.
