--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,7 +67,7 @@
 	l := &Limits{BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(memoryBytes / 4 / connectionBytes)}
 	var descriptors syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
-		l.MaxWaiting = int(min(uint64(l.MaxWaiting), uint64(descriptors.Cur)/descriptorParts))
+		l.MaxWaiting = int(min(uint64(l.MaxWaiting), descriptors.Cur/descriptorParts))
 	}
 	return l
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -60,6 +60,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer response.Body.Close()
 	return response.StatusCode
 }
 
@@ -116,6 +117,7 @@
 				t.Fatal(err)
 			}
 			got, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
 			if string(got) != fmt.Sprint(size) {
 				t.Errorf("%d bytes: got status %d, %q", size, response.StatusCode, got)
 			}
