Intake: idle connections have a bound of their own

An idle connection needs a quarter of the memory of one with an unfinished request, and callers may reuse it, so that a crowd of unfinished requests closes none.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,8 +5,9 @@
 //	...
 //	body, err := intake.Read(r, maxBytes, deadline) // in a handler
 //
-// All servers of a process share one Limits. A connection waits until a whole request was read from it. Of more than
-// MaxWaiting such connections, the one that has waited longest is closed. A body of more than shortBytes takes its
+// All servers of a process share one Limits. A connection waits from its start, or from the first byte of a further
+// request, until a whole request was read from it. Of more than MaxWaiting such connections, the one that has waited
+// longest is closed, and of more than MaxIdle ones between two requests the one that is idle for longest. A body of more than shortBytes takes its
 // memory from BodyBytes as it arrives, until the handler returns. When that is used up, the body that has made no
 // progress for longest gives up its memory; if all make progress, the new one fails with ErrFull.
 package intake
@@ -29,11 +30,14 @@
 	// memoryParts is the part of the memory that bodies may use: as much again is garbage of their growth, and the
 	// connections that wait and the process itself need the rest.
 	memoryParts = 6
-	// descriptorParts is the part of the descriptors that waiting connections may use.
+	// descriptorParts is the part of the descriptors that waiting connections may use, and that idle ones may.
 	descriptorParts = 4
 	// connectionBytes is what a waiting connection uses at most on average: its buffers and stack, a head, and bytes
-	// that have arrived and were not read.
+	// that have arrived and were not read. idleBytes is that of an idle one.
 	connectionBytes = 128 << 10
+	idleBytes       = 32 << 10
+	// connectionParts is the part of the memory that waiting connections may use, and that idle ones may.
+	connectionParts = 4
 	// defaultMemory is the memory of a process whose settings name none.
 	defaultMemory = 256 << 20
 	// readBufferBytes is the buffer of the kernel for bytes that have arrived; the kernel doubles it for its own use.
@@ -44,8 +48,9 @@
 type Limits struct {
 	// BodyBytes bounds the memory of all bodies that are longer than shortBytes. One body is always read.
 	BodyBytes int64
-	// MaxWaiting bounds the connections from which no whole request was read yet, idle ones included.
+	// MaxWaiting bounds the connections with an unfinished request or none yet, MaxIdle those between two requests.
 	MaxWaiting int
+	MaxIdle    int
 
 	// Refused counts the bodies that found no memory, Closed the connections closed for others.
 	Refused atomic.Int64
@@ -56,18 +61,31 @@
 	// used is the memory of the bodies in reading and of those that are held by their handlers.
 	used    int64
 	reading map[*client]bool
-	waiting int
+	// counts has the number of connections in each state.
+	counts [running + 1]int
 }
 
+// state is what a connection does.
+type state uint8
+
+const (
+	none state = iota // not counted, as it has ended or is being closed
+	waiting
+	idle
+	running
+)
+
 // FromMachine returns limits for a process with the given memory and the descriptors that the system allows it.
 func FromMachine(memoryBytes int64) *Limits {
 	if memoryBytes <= 0 {
 		memoryBytes = defaultMemory
 	}
-	l := &Limits{BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(memoryBytes / 4 / connectionBytes)}
+	share := memoryBytes / connectionParts
+	l := &Limits{BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes)}
 	var descriptors syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
-		l.MaxWaiting = int(min(uint64(l.MaxWaiting), descriptors.Cur/descriptorParts))
+		most := descriptors.Cur / descriptorParts
+		l.MaxWaiting, l.MaxIdle = int(min(uint64(l.MaxWaiting), most)), int(min(uint64(l.MaxIdle), most))
 	}
 	return l
 }
@@ -77,10 +95,9 @@
 	limits *Limits
 	conn   net.Conn
 	// Fields below are guarded by limits.mu.
-	waiting bool
-	idle    bool
-	since   time.Time
-	share   int64
+	state state
+	since time.Time
+	share int64
 	// progress is when the body last took memory.
 	progress time.Time
 	// evicted is set once the body has lost its memory.
@@ -148,18 +165,17 @@
 	l.mu.Lock()
 	var victim net.Conn
 	switch state {
-	case http.StateNew, http.StateIdle:
-		c := l.add(conn)
-		l.setWaiting(c, true)
-		c.since, c.idle = time.Now(), state == http.StateIdle
-		victim = l.victim()
+	case http.StateNew:
+		victim = l.change(l.add(conn), waiting)
+	case http.StateIdle:
+		victim = l.change(l.add(conn), idle)
 	case http.StateActive:
-		if c := l.conns[conn]; c != nil && c.idle {
-			c.since, c.idle = time.Now(), false
+		if c := l.conns[conn]; c != nil && c.state == idle {
+			victim = l.change(c, waiting)
 		}
 	case http.StateClosed, http.StateHijacked:
 		if c := l.conns[conn]; c != nil {
-			l.setWaiting(c, false)
+			l.change(c, none)
 			delete(l.conns, conn)
 		}
 	}
@@ -187,34 +203,24 @@
 	}
 }
 
-func (l *Limits) setWaiting(c *client, waiting bool) {
-	if c.waiting == waiting {
-		return
-	}
-	c.waiting = waiting
-	if waiting {
-		l.waiting++
-	} else {
-		l.waiting--
-	}
-}
-
-// victim returns the connection to close if too many wait: the oldest of those with an unfinished request, else the
-// oldest idle one. It does not wait any more.
-func (l *Limits) victim() net.Conn {
-	if l.waiting <= l.MaxWaiting {
+// change sets the state of a connection. It returns the connection to close if there are too many in that state, which
+// is the oldest of them; nil if there are not.
+func (l *Limits) change(c *client, to state) net.Conn {
+	l.counts[c.state]--
+	l.counts[to]++
+	c.state, c.since = to, time.Now()
+	if !(to == waiting && l.counts[to] > l.MaxWaiting || to == idle && l.counts[to] > l.MaxIdle) {
 		return nil
 	}
-	var oldest *client
-	for _, c := range l.conns {
-		if !c.waiting {
-			continue
-		}
-		if oldest == nil || oldest.idle && !c.idle || oldest.idle == c.idle && c.since.Before(oldest.since) {
-			oldest = c
+	oldest := c
+	for _, other := range l.conns {
+		if other.state == to && other.since.Before(oldest.since) {
+			oldest = other
 		}
 	}
-	l.setWaiting(oldest, false)
+	l.counts[to]--
+	l.counts[none]++
+	oldest.state = none
 	return oldest.conn
 }
 
@@ -229,7 +235,9 @@
 func (l *Limits) received(c *client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.setWaiting(c, false)
+	if c.state == waiting {
+		l.change(c, running)
+	}
 	delete(l.reading, c)
 }
 
@@ -242,11 +250,18 @@
 	delete(l.reading, c)
 }
 
-// Waiting returns the number of connections that wait.
+// Waiting returns the number of connections that wait, Idle that of those between two requests.
 func (l *Limits) Waiting() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int64(l.waiting)
+	return int64(l.counts[waiting])
+}
+
+// Idle returns the number of connections between two requests.
+func (l *Limits) Idle() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int64(l.counts[idle])
 }
 
 // Used returns the memory of the bodies.
@@ -260,6 +275,7 @@
 func (l *Limits) Register(r metrics.Registry) {
 	meter.RegisterGauge(r, "intake.bodyBytes", l.Used)
 	meter.RegisterGauge(r, "intake.waiting", l.Waiting)
+	meter.RegisterGauge(r, "intake.idle", l.Idle)
 	meter.RegisterGauge(r, "intake.refused", l.Refused.Load)
 	meter.RegisterGauge(r, "intake.closed", l.Closed.Load)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -77,7 +77,7 @@
 
 // TestStalledBodyGivesUpItsMemory holds a body open that uses the memory which another one needs.
 func TestStalledBodyGivesUpItsMemory(t *testing.T) {
-	l := &Limits{BodyBytes: 1 << 20, MaxWaiting: 100}
+	l := &Limits{BodyBytes: 1 << 20, MaxWaiting: 100, MaxIdle: 100}
 	server := start(t, l)
 	stalled := open(t, server, postHead+"Content-Length: 1000000\r\n\r\n"+strings.Repeat("x", 999_999))
 	await(t, func() bool { return l.Used() == 1_000_000 })
@@ -94,7 +94,7 @@
 
 // TestBodiesOverTheLimitAreNotRead announces, and sends, too long a body.
 func TestBodiesOverTheLimitAreNotRead(t *testing.T) {
-	server := start(t, &Limits{BodyBytes: 1 << 20, MaxWaiting: 100})
+	server := start(t, &Limits{BodyBytes: 1 << 20, MaxWaiting: 100, MaxIdle: 100})
 	for _, text := range []string{
 		"Content-Length: 1048577\r\n\r\n",
 		"Transfer-Encoding: chunked\r\n\r\n100001\r\n" + strings.Repeat("x", 0x100001) + "\r\n",
@@ -107,7 +107,7 @@
 
 // TestBodiesAreWhole reads bodies around the sizes at which the buffer grows.
 func TestBodiesAreWhole(t *testing.T) {
-	l := &Limits{BodyBytes: 1, MaxWaiting: 100}
+	l := &Limits{BodyBytes: 1, MaxWaiting: 100, MaxIdle: 100}
 	server := start(t, l)
 	for _, size := range []int{0, 1, firstBytes - 1, firstBytes, firstBytes + 1, shortBytes, shortBytes + 1, 1<<20 - 1, 1 << 20} {
 		body := strings.Repeat("x", size)
@@ -135,7 +135,7 @@
 
 // TestOldestWaitingConnectionIsClosed opens one connection too many. Connections with running requests are not closed.
 func TestOldestWaitingConnectionIsClosed(t *testing.T) {
-	l := &Limits{BodyBytes: 1 << 20, MaxWaiting: 2}
+	l := &Limits{BodyBytes: 1 << 20, MaxWaiting: 2, MaxIdle: 2}
 	server := start(t, l)
 	first := open(t, server, postHead)
 	await(t, func() bool { return l.Waiting() == 1 })
