Buying: keep the replicas until the demand is known

A leader without any observed demand took 0.6 of the replicas that had announced themselves for the need, replaced them by fewer spot ones and gave the on-demand ones back before the traffic began. Now replicas stay, and lost ones are replaced, until the demand was observed for 3 s; averages count from the first demand.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -31,10 +31,11 @@
 	shortSpan = 3 * clock.Second
 	// minReplicas is the number of replicas that a service keeps without any demand.
 	minReplicas = 4
-	// initialFraction is the fraction of the initial replicas that the service keeps as a minimum until
-	// initialTime has passed, because its demand has not been observed for long enough before.
-	initialFraction = 0.6
-	initialTime     = 20 * clock.Second
+	// initialTime is how long a service without any demand keeps the replicas that were present when the
+	// leader took over: traffic may only be about to start.
+	initialTime = 20 * clock.Second
+	// discoveryTime is the time in which all servers have announced themselves to a new leader.
+	discoveryTime = 3 * clock.Second
 )
 
 // serviceState is the leader's state of the orders and the demand of one service.
@@ -50,8 +51,10 @@
 	// completed is the number of attempts that servers completed since the service is known.
 	completed uint64
 	createdAt clock.Instant
-	// initialReplicas is the number of replicas when the leader first decided on the service and
-	// found any, and initialAt the time of that decision.
+	// demandAt is the time of the first demand; zero before any.
+	demandAt clock.Instant
+	// initialReplicas is the largest number of replicas within discoveryTime of initialAt, the time at which
+	// the leader first decided on the service and found any.
 	initialReplicas int
 	initialAt       clock.Instant
 }
@@ -102,7 +105,11 @@
 			continue
 		}
 		m := d.service(now, s.GetService())
-		for i, n := range []uint64{growth(s.GetPrefill(), last.prefill), growth(s.GetOutput(), last.output)} {
+		tokens := []uint64{growth(s.GetPrefill(), last.prefill), growth(s.GetOutput(), last.output)}
+		if m.demandAt == 0 && tokens[0]+tokens[1] > 0 {
+			m.demandAt = now
+		}
+		for i, n := range tokens {
 			m.longTokens[i].Add(now, float64(n))
 			m.shortTokens[i].Add(now, float64(n))
 		}
@@ -118,14 +125,33 @@
 // requiredReplicas returns the number of replicas that the demand requires.
 func (m *serviceState) requiredReplicas(now clock.Instant) int {
 	rate := func(w *[2]window.Sliding, span clock.Duration) scale.TokenDemand {
-		span = max(min(span, now.Sub(m.createdAt)), clock.Second)
+		span = max(min(span, now.Sub(m.demandAt)), clock.Second)
 		return scale.TokenDemand{Prefill: w[0].Sum(now) * 1000 / float64(span), Output: w[1].Sum(now) * 1000 / float64(span)}
 	}
-	minimum := minReplicas
-	if now.Sub(m.initialAt) < initialTime {
-		minimum = max(minimum, int(initialFraction*float64(m.initialReplicas)))
+	return max(scale.RequiredReplicas(rate(&m.longTokens, longSpan)), scale.RequiredReplicas(rate(&m.shortTokens, shortSpan))*3/4, minReplicas)
+}
+
+// isDemandKnown reports whether the demand was observed for long enough to remove replicas: for shortSpan
+// since it began. A service without any demand counts as idle after initialTime.
+func (m *serviceState) isDemandKnown(now clock.Instant) bool {
+	if m.demandAt > 0 {
+		return now.Sub(m.demandAt) >= shortSpan
+	}
+	return m.initialAt > 0 && now.Sub(m.initialAt) >= initialTime
+}
+
+// observeInitial records the replicas that are present while servers announce themselves to a new leader.
+func (m *serviceState) observeInitial(now clock.Instant, zones []scale.Zone) {
+	present := 0
+	for _, z := range zones {
+		present += z.OnDemand + z.Spot
+	}
+	if m.initialAt == 0 && present > 0 {
+		m.initialAt = now
+	}
+	if now.Sub(m.initialAt) <= discoveryTime {
+		m.initialReplicas = max(m.initialReplicas, present)
 	}
-	return max(scale.RequiredReplicas(rate(&m.longTokens, longSpan)), scale.RequiredReplicas(rate(&m.shortTokens, shortSpan))*3/4, minimum)
 }
 
 // orderReplicas orders replicas for all services that have scaling configured.
@@ -148,15 +174,16 @@
 	c.mu.Lock()
 	m := c.duties.service(now, s.Name)
 	zones := c.zones(s, r, m)
-	if m.initialReplicas == 0 {
-		for _, z := range zones {
-			m.initialReplicas += z.OnDemand + z.Spot
-		}
-		m.initialAt = now
-	}
+	m.observeInitial(now, zones)
 	required := m.requiredReplicas(now)
 	bounds := scale.Bounds{Min: s.Scaling.Least, Max: s.Scaling.Most, SpotPrice: s.Scaling.SpotPrice}
-	targets := m.mix.Decide(now, required, bounds, zones)
+	var targets []scale.ZoneTarget
+	if m.initialReplicas > 0 && !m.isDemandKnown(now) {
+		required = max(required, m.initialReplicas)
+		targets = m.mix.Keep(required, bounds, zones)
+	} else {
+		targets = m.mix.Decide(now, required, bounds, zones)
+	}
 	c.mu.Unlock()
 	for i, w := range targets {
 		// The kind that grows is ordered first, so that the zone does not fall below its minimum in
--- a/internal/core/buying_test.go
+++ b/internal/core/buying_test.go
@@ -5,6 +5,8 @@
 
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/scale"
+	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
 )
 
@@ -43,3 +45,46 @@
 		t.Errorf("9 s after the crash: got %d, want %d", got, want)
 	}
 }
+
+// TestReplicasAreKeptUntilTheDemandIsKnown guards against a leader that removes replicas before it has seen what the
+// traffic needs: at the start of a service, and after each election.
+func TestReplicasAreKeptUntilTheDemandIsKnown(t *testing.T) {
+	zones := []scale.Zone{{Name: "a", OnDemand: 7}, {Name: "b", OnDemand: 5}}
+	m := (&dutyState{}).service(1000, "engine")
+	if m.observeInitial(1000, nil); m.initialAt != 0 {
+		t.Errorf("before any replica: got the initial time %d, want none", m.initialAt)
+	}
+	m.observeInitial(1000, zones[:1])
+	m.observeInitial(2000, zones)
+	if got, want := m.initialReplicas, 12; got != want {
+		t.Errorf("initial replicas, of which 5 announced themselves a second later: got %d, want %d", got, want)
+	}
+	for _, c := range []struct {
+		demandAt, now clock.Instant
+		want          bool
+	}{
+		{0, 15_000, false}, {0, 1000 + clock.Instant(initialTime), true},
+		{15_000, 16_000, false}, {15_000, 15_000 + clock.Instant(shortSpan), true},
+	} {
+		m.demandAt = c.demandAt
+		if got := m.isDemandKnown(c.now); got != c.want {
+			t.Errorf("demand since %d at %d: got known %v, want %v", c.demandAt, c.now, got, c.want)
+		}
+	}
+}
+
+// TestDemandCountsFromItsBegin guards against a requirement that grows for the whole span of the average, as the time
+// before the first request counts as idle.
+func TestDemandCountsFromItsBegin(t *testing.T) {
+	d := &dutyState{}
+	m := d.service(1000, "engine")
+	d.receiveDemand(1000, "entry-1/1", []*peerpb.ServiceDemand{{Service: "engine"}})
+	for i := range clock.Instant(13) {
+		d.receiveDemand(15_000+250*i, "entry-1/1", []*peerpb.ServiceDemand{{Service: "engine", Prefill: uint64(200_000 * (i + 1))}})
+	}
+	// 800,000 tokens a second.
+	want := scale.RequiredReplicas(scale.TokenDemand{Prefill: 800_000})
+	if got := m.requiredReplicas(18_000); got < want || got > want*5/4 {
+		t.Errorf("3 s after the first request: got %d replicas, want %d to %d", got, want, want*5/4)
+	}
+}
--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -73,6 +73,31 @@
 
 // Decide returns the target of each zone, in the order of zones.
 func (m *Mix) Decide(now clock.Instant, required int, b Bounds, zones []Zone) []ZoneTarget {
+	m.prepare(zones)
+	required = m.recentPeak(now, required)
+	m.targetSpot(now, required, b, zones)
+	m.targetOnDemand(now, required, b, zones)
+	return m.all(zones)
+}
+
+// Keep returns targets that keep the present replicas, and replace those below the required number by
+// on-demand replicas. It serves while the demand is not known yet: removing replicas before the load arrives
+// would leave it to those that remain for the time of a boot.
+func (m *Mix) Keep(required int, b Bounds, zones []Zone) []ZoneTarget {
+	m.prepare(zones)
+	have := 0
+	for _, z := range zones {
+		w := m.targets[z.Name]
+		w.OnDemand = max(w.OnDemand, z.OnDemand)
+		w.Spot = z.Spot + z.SpotStarting
+		have += w.OnDemand + w.Spot
+	}
+	m.add(required-have, b, zones)
+	return m.all(zones)
+}
+
+// prepare starts with the present replicas as the targets of zones without one.
+func (m *Mix) prepare(zones []Zone) {
 	if m.targets == nil {
 		m.targets = make(map[string]*ZoneTarget)
 	}
@@ -81,9 +106,10 @@
 			m.targets[z.Name] = &ZoneTarget{Zone: z.Name, OnDemand: z.OnDemand, Spot: z.Spot}
 		}
 	}
-	required = m.recentPeak(now, required)
-	m.targetSpot(now, required, b, zones)
-	m.targetOnDemand(now, required, b, zones)
+}
+
+// all returns the targets in the order of zones.
+func (m *Mix) all(zones []Zone) []ZoneTarget {
 	var out []ZoneTarget
 	for _, z := range zones {
 		out = append(out, *m.targets[z.Name])
--- a/internal/scale/mix_test.go
+++ b/internal/scale/mix_test.go
@@ -48,6 +48,13 @@
 }
 
 func (w *cloudSim) step(required int) {
+	w.stepTo(func() []ZoneTarget {
+		return w.mix.Decide(w.now, required, Bounds{Min: 1, Max: 6, SpotPrice: 0.18}, w.zones)
+	})
+}
+
+// stepTo advances the time by a step and orders what decide returns.
+func (w *cloudSim) stepTo(decide func() []ZoneTarget) {
 	w.now = w.now.Add(stepTime)
 	var rest []boot
 	for _, b := range w.booting {
@@ -69,7 +76,7 @@
 			}
 		}
 	}
-	for i, want := range w.mix.Decide(w.now, required, Bounds{Min: 1, Max: 6, SpotPrice: 0.18}, w.zones) {
+	for i, want := range decide() {
 		w.order(i, want)
 	}
 	for _, z := range w.zones {
@@ -192,3 +199,56 @@
 		t.Error("got no decision in 2 s")
 	}
 }
+
+// TestLoadThatIsAboutToStartFindsItsReplicas plays a service whose traffic starts 14 s after its 15 replicas did, needs 13
+// of them, and loses the spot replicas of a zone 3 s later while no others are available. A decision by the demand alone
+// replaces the replicas by fewer spot ones before the traffic starts, and has too few for the boot time of a replica.
+func TestLoadThatIsAboutToStartFindsItsReplicas(t *testing.T) {
+	const required, minimum = 13, 9
+	play := func(keeps bool) (short clock.Duration) {
+		w := newCloudSim(0)
+		for i, n := range []int{4, 4, 4, 3} {
+			w.zones[i].OnDemand = n
+		}
+		bounds := Bounds{Min: 1, Max: 8, SpotPrice: 0.18}
+		for at := clock.Duration(0); at < 30*clock.Second; at += stepTime {
+			if at == 17*clock.Second {
+				w.reclaim(1)
+			}
+			switch {
+			case at >= 17*clock.Second:
+				w.stepTo(func() []ZoneTarget { return w.mix.Decide(w.now, required, bounds, w.zones) })
+			case keeps:
+				w.stepTo(func() []ZoneTarget { return w.mix.Keep(15, bounds, w.zones) })
+			default:
+				w.stepTo(func() []ZoneTarget { return w.mix.Decide(w.now, minimum, bounds, w.zones) })
+			}
+			if at >= 14*clock.Second && w.serving() < required {
+				short += stepTime
+			}
+		}
+		return short
+	}
+	before, after := play(false), play(true)
+	if after > 0 || before < bootTime {
+		t.Errorf("time with fewer replicas than required: got %v, and %v by the demand alone, want none, and a boot time", after, before)
+	}
+}
+
+// TestKeepReplacesLostReplicas checks that replicas that are lost before the demand is known are replaced by on-demand
+// ones, and that none are ordered twice for one loss.
+func TestKeepReplacesLostReplicas(t *testing.T) {
+	w := newCloudSim(2)
+	for i := range w.zones {
+		w.zones[i].Spot = 1
+	}
+	keep := func() []ZoneTarget { return w.mix.Keep(12, Bounds{Min: 1, Max: 6, SpotPrice: 0.18}, w.zones) }
+	w.stepTo(keep)
+	w.reclaim(2)
+	for range 40 {
+		w.stepTo(keep)
+	}
+	if got, want := w.serving(), 12; got != want {
+		t.Errorf("replicas 10 s after the loss of one of 12: got %d, want %d", got, want)
+	}
+}
