--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -344,7 +344,7 @@
 	x.proxy.Log.Info("request",
 		"id", x.request.ID, "route", x.routeName(), "account", x.accountName(), "service", x.service,
 		"outcome", x.outcome, "status", x.status, "detail", x.detail,
-		"size", int(x.quotaUsed), "server", x.server, "version", x.version, "helper", x.helper, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.sequence.Events,
+		"size", int(x.quotaUsed), "urgency", x.loggedUrgency(), "server", x.server, "version", x.version, "helper", x.helper, "attempts", x.attempts, "mayHaveRun", x.mayHaveRun, "events", x.sequence.Events,
 		"lastStatus", x.lastResponse.Status, "lastType", x.lastResponse.ContentType, "framing", x.lastResponse.Framing.String(), "ending", x.lastResponse.Ending,
 		"lastEvent", x.sequence.Last, "joined", x.joined, "expectedMs", int(x.expectedWait), "firstMs", x.firstResponseMs(), "tookMs", int64(x.proxy.Clock.Now().Sub(x.arrived)),
 		"rulesVersion", x.rulesVersion())
@@ -357,6 +357,14 @@
 	return int64(x.firstResponseAt.Sub(x.arrived))
 }
 
+// loggedUrgency returns the urgency of the request by its priority, -1 without a route.
+func (x *exchange) loggedUrgency() int {
+	if x.route == nil {
+		return -1
+	}
+	return x.baseUrgency()
+}
+
 func (x *exchange) routeName() string {
 	if x.route == nil {
 		return ""
