--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -57,6 +57,8 @@
 	// the leader first decided on the service and found any.
 	initialReplicas int
 	initialAt       clock.Instant
+	// needed is the number of replicas that the last decision was made for.
+	needed int
 }
 
 // replicaKind is an availability zone and a kind of replica, spot or on-demand.
@@ -119,6 +121,17 @@
 	}
 }
 
+// neededReplicas returns the number of replicas that the last decisions of all services were made for.
+func (c *Core) neededReplicas() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	needed := 0
+	for _, m := range c.duties.services {
+		needed += m.needed
+	}
+	return int64(needed)
+}
+
 // growth returns by how much a count has grown. A count that has shrunk was reset or is wrong.
 func growth(n, last uint64) uint64 { return n - min(n, last) }
 
@@ -184,6 +197,7 @@
 	} else {
 		targets = m.mix.Decide(now, required, bounds, zones)
 	}
+	m.needed = required
 	c.mu.Unlock()
 	for i, w := range targets {
 		// The kind that grows is ordered first, so that the zone does not fall below its minimum in
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -183,6 +183,7 @@
 		}
 		return 0
 	})
+	meter.RegisterGauge(r, "core.needReplicas", c.neededReplicas)
 	meter.RegisterGauge(r, "core.servers", func() int64 {
 		c.mu.Lock()
 		defer c.mu.Unlock()
