--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -76,6 +76,37 @@
 
 // Decide returns the target of each zone, in the order of zones.
 func (m *Mix) Decide(now clock.Instant, required int, b Bounds, zones []Zone) []ZoneTarget {
+	m.prepare(zones)
+	required = m.recentPeak(now, required)
+	serving := withoutEvacuated(zones)
+	m.targetSpot(now, required, b, serving)
+	m.targetOnDemand(now, required, b, serving)
+	return m.all(zones)
+}
+
+// Keep returns targets that keep the present replicas, and replace those below the required number by
+// on-demand replicas. It serves while the demand is not known yet: removing replicas before the load arrives
+// would leave it to those that remain for the time of a boot.
+func (m *Mix) Keep(required int, b Bounds, zones []Zone) []ZoneTarget {
+	m.prepare(zones)
+	serving := withoutEvacuated(zones)
+	have := 0
+	for _, z := range serving {
+		w := m.targets[z.Name]
+		w.OnDemand = max(w.OnDemand, z.OnDemand)
+		w.Spot = z.Spot + z.SpotStarting
+		have += w.OnDemand + w.Spot
+	}
+	m.add(required-have, b, serving)
+	return m.all(zones)
+}
+
+func withoutEvacuated(zones []Zone) []Zone {
+	return slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Evacuated })
+}
+
+// prepare starts with the present replicas as the targets of zones without one.
+func (m *Mix) prepare(zones []Zone) {
 	if m.targets == nil {
 		m.targets = make(map[string]*ZoneTarget)
 	}
@@ -84,10 +115,10 @@
 			m.targets[z.Name] = &ZoneTarget{Zone: z.Name, OnDemand: z.OnDemand, Spot: z.Spot}
 		}
 	}
-	required = m.recentPeak(now, required)
-	serving := slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Evacuated })
-	m.targetSpot(now, required, b, serving)
-	m.targetOnDemand(now, required, b, serving)
+}
+
+// all returns the targets in the order of zones.
+func (m *Mix) all(zones []Zone) []ZoneTarget {
 	var out []ZoneTarget
 	for _, z := range zones {
 		out = append(out, *m.targets[z.Name])
