Evacuation: the servers of a zone that returns may be cold; only daemons with a bound hold requests after a pause

SetEvacuation applies what package notice knows of possibly cold servers before the zone gets requests again. A daemon whose settings name no evacuateWithin holds nothing after a pause, as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -353,7 +353,9 @@
 		now := e.clock.Now()
 		late := max(now.Sub(last)-lagInterval, 0)
 		last = now
-		e.Proxy.Tick()
+		if e.Settings.EvacuateWithin > 0 {
+			e.Proxy.Tick()
+		}
 		e.Proxy.Room.ObserveLag(late)
 		if late > pauseTime {
 			e.Proxy.Resumed()
--- a/internal/proxy/evacuation.go
+++ b/internal/proxy/evacuation.go
@@ -22,6 +22,9 @@
 		p.evacuations = make(map[string]state.Evacuation)
 	}
 	p.evacuations[e.Zone] = e
+	if !e.Evacuated {
+		p.zoneReturns(e.Zone)
+	}
 	return true
 }
 
--- a/internal/proxy/notices.go
+++ b/internal/proxy/notices.go
@@ -88,11 +88,9 @@
 	p.Log.Info("backend server may be cold", "server", s.ID, "service", service, "perSecond", w.PerSecond, "forMs", int64(svc.ColdStart))
 }
 
-// ZoneReturns records that servers of an availability zone get requests again. While they got none they may have turned
-// cold, and the announcement of that may be on its way.
-func (p *Proxy) ZoneReturns(zone string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// zoneReturns records that servers of an availability zone get requests again. While they got none they may have turned
+// cold, and the announcement of that may be on its way. The caller holds the lock.
+func (p *Proxy) zoneReturns(zone string) {
 	for name, service := range p.services {
 		for _, s := range service.Servers {
 			if s.Zone == zone && !p.notices.Cold.Knows(s.ID) {
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -55,6 +55,9 @@
 	Duties      Duties
 	Exposure    Exposure
 	Cold        Cold
+	// EvacuateWithin is the time from the acknowledgement of an evacuation in which it must be in force. If it is set, an
+	// entry daemon that was paused holds requests until a core daemon was heard; zero holds none.
+	EvacuateWithin clock.Duration
 }
 
 // Cold bounds the requests to a cold server in any second: Overrun times the rate that it tolerates, and Slack requests.
@@ -207,6 +210,7 @@
 		s.Retries.Window = b.Duration("window", s.Retries.Window)
 		b.End()
 	}
+	s.EvacuateWithin = o.Duration("evacuateWithin", 0)
 	s.Cold = Cold{Overrun: 1}
 	if n, ok := o.Get("cold"); ok {
 		b := n.Object()
