--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -209,7 +209,8 @@
 	l.counts[c.state]--
 	l.counts[to]++
 	c.state, c.since = to, time.Now()
-	if !(to == waiting && l.counts[to] > l.MaxWaiting || to == idle && l.counts[to] > l.MaxIdle) {
+	tooMany := to == waiting && l.counts[to] > l.MaxWaiting || to == idle && l.counts[to] > l.MaxIdle
+	if !tooMany {
 		return nil
 	}
 	oldest := c
