Proxy: two steps of urgency for each priority of accounts

The tests are right: late requests come after punctual ones.

Requests on routes of priority 0 that can meet their target come first, others of the account after them.

--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -449,11 +449,8 @@
 // typicalHeadBytes is the usual size of a request's head in bytes.
 const typicalHeadBytes = 768
 
-// routeSteps is the number of priorities of routes that are told apart within one priority of accounts.
-const routeSteps = 3
-
 // baseUrgency returns the urgency of the request by its priority. The account's priority, where set, goes before that of
-// the route, which orders the requests of accounts with equal priorities.
+// the route: of its requests, those on routes with the highest priority come first.
 func (x *exchange) baseUrgency() int {
 	if x.hop != nil {
 		return x.hop.Urgency
@@ -462,20 +459,21 @@
 	if x.account == nil || x.account.Priority == nil {
 		return min(2*priority, maxUrgency)
 	}
-	return min(routeSteps*max(*x.account.Priority, 0)+min(priority, routeSteps-1), maxUrgency)
+	return min(2*max(*x.account.Priority, 0)+min(priority, 1), maxUrgency)
 }
 
-// urgency returns the request's urgency from 0 to 9. Within a priority of routes, a request that will miss the target of its route in any case comes after
-// those that can meet it.
+// urgency returns the request's urgency from 0 to 9. Within a priority, a request that will miss the target of its route in
+// any case comes after those that can meet it.
 func (a *attempt) urgency() int {
 	x := a.exchange
 	urgency := x.baseUrgency()
-	if x.hop != nil || x.account != nil && x.account.Priority != nil {
+	if x.hop != nil {
 		return urgency
 	}
 	expected := a.proxy.Clock.Now().Add(clock.Duration(a.choice.Wait))
 	if x.route.Target > 0 && expected.Sub(x.arrived) > x.route.Target {
-		urgency++
+		// Two steps belong to each priority.
+		urgency |= 1
 	}
 	return min(urgency, maxUrgency)
 }
