Buying: the present replicas stand for the demand until it is known

Cause: Keep held the on-demand replicas that were present until 3 s of demand were seen.

Change: until the demand is known, Decide works with the need that the present replicas stand for: on-demand replicas in full, spot replicas without the reserve for the loss of a zone. The on-demand ones are exchanged for spot ones that suffice for that need, also after a zone is lost.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -53,10 +53,10 @@
 	createdAt clock.Instant
 	// demandAt is the time of the first demand; zero before any.
 	demandAt clock.Instant
-	// initialReplicas is the largest number of replicas within discoveryTime of initialAt, the time at which
-	// the leader first decided on the service and found any.
-	initialReplicas int
-	initialAt       clock.Instant
+	// initialNeed is the largest need that the present replicas stood for within discoveryTime of initialAt, the time at
+	// which the leader first decided on the service and found any.
+	initialNeed int
+	initialAt   clock.Instant
 	// needed is the number of replicas that the last decision was made for.
 	needed int
 }
@@ -153,17 +153,14 @@
 	return m.initialAt > 0 && now.Sub(m.initialAt) >= initialTime
 }
 
-// observeInitial records the replicas that are present while servers announce themselves to a new leader.
+// observeInitial records what the present replicas stand for while servers announce themselves to a new leader.
 func (m *serviceState) observeInitial(now clock.Instant, zones []scale.Zone) {
-	present := 0
-	for _, z := range zones {
-		present += z.OnDemand + z.Spot
-	}
-	if m.initialAt == 0 && present > 0 {
+	need := scale.Need(zones)
+	if m.initialAt == 0 && need > 0 {
 		m.initialAt = now
 	}
 	if now.Sub(m.initialAt) <= discoveryTime {
-		m.initialReplicas = max(m.initialReplicas, present)
+		m.initialNeed = max(m.initialNeed, need)
 	}
 }
 
@@ -194,14 +191,11 @@
 	m.observeInitial(now, zones)
 	required := m.requiredReplicas(now)
 	bounds := scale.Bounds{Min: s.Scaling.Least, Max: s.Scaling.Most, SpotPrice: s.Scaling.SpotPrice}
-	var targets []scale.ZoneTarget
-	if m.initialReplicas > 0 && !m.isDemandKnown(now) {
-		required = max(required, m.initialReplicas)
-		targets = m.mix.Keep(required, bounds, zones)
-	} else {
-		targets = m.mix.Decide(now, required, bounds, zones)
+	if !m.isDemandKnown(now) {
+		required = max(required, m.initialNeed)
 	}
 	m.needed = required
+	targets := m.mix.Decide(now, required, bounds, zones)
 	c.mu.Unlock()
 	for i, w := range targets {
 		if zones[i].Evacuated {
--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -76,37 +76,6 @@
 
 // Decide returns the target of each zone, in the order of zones.
 func (m *Mix) Decide(now clock.Instant, required int, b Bounds, zones []Zone) []ZoneTarget {
-	m.prepare(zones)
-	required = m.recentPeak(now, required)
-	serving := withoutEvacuated(zones)
-	m.targetSpot(now, required, b, serving)
-	m.targetOnDemand(now, required, b, serving)
-	return m.all(zones)
-}
-
-// Keep returns targets that keep the present replicas, and replace those below the required number by
-// on-demand replicas. It serves while the demand is not known yet: removing replicas before the load arrives
-// would leave it to those that remain for the time of a boot.
-func (m *Mix) Keep(required int, b Bounds, zones []Zone) []ZoneTarget {
-	m.prepare(zones)
-	serving := withoutEvacuated(zones)
-	have := 0
-	for _, z := range serving {
-		w := m.targets[z.Name]
-		w.OnDemand = max(w.OnDemand, z.OnDemand)
-		w.Spot = z.Spot + z.SpotStarting
-		have += w.OnDemand + w.Spot
-	}
-	m.add(required-have, b, serving)
-	return m.all(zones)
-}
-
-func withoutEvacuated(zones []Zone) []Zone {
-	return slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Evacuated })
-}
-
-// prepare starts with the present replicas as the targets of zones without one.
-func (m *Mix) prepare(zones []Zone) {
 	if m.targets == nil {
 		m.targets = make(map[string]*ZoneTarget)
 	}
@@ -115,10 +84,10 @@
 			m.targets[z.Name] = &ZoneTarget{Zone: z.Name, OnDemand: z.OnDemand, Spot: z.Spot}
 		}
 	}
-}
-
-// all returns the targets in the order of zones.
-func (m *Mix) all(zones []Zone) []ZoneTarget {
+	required = m.recentPeak(now, required)
+	serving := withoutEvacuated(zones)
+	m.targetSpot(now, required, b, serving)
+	m.targetOnDemand(now, required, b, serving)
 	var out []ZoneTarget
 	for _, z := range zones {
 		out = append(out, *m.targets[z.Name])
@@ -126,6 +95,22 @@
 	return out
 }
 
+// Need returns the number of required replicas for which Decide orders the present ones: on-demand replicas count in full,
+// spot replicas without the reserve for the loss of a zone. It stands for the demand while that is not known yet.
+func Need(zones []Zone) int {
+	onDemand, spot := 0, 0
+	for _, z := range zones {
+		onDemand += z.OnDemand
+		spot += z.Spot
+	}
+	others := max(len(zones)-1, 1)
+	return onDemand + int(float64(spot*others)/(spotMargin*float64(max(len(zones), 1))))
+}
+
+func withoutEvacuated(zones []Zone) []Zone {
+	return slices.DeleteFunc(slices.Clone(zones), func(z Zone) bool { return z.Evacuated })
+}
+
 // recentPeak returns the largest number of required replicas within peakRetention.
 func (m *Mix) recentPeak(now clock.Instant, required int) int {
 	m.peaks = slices.DeleteFunc(m.peaks, func(p peak) bool { return now.Sub(p.at) > peakRetention || p.required <= required })
