Buying: replicas of a reclaimed zone do not count as starting

Four zones were reclaimed from 13 to 19 s; the first on-demand order came at 17.55 s.

Cause: the last order had lowered each zone from 34 to 14 spot replicas at 11.3 s. A zone without any then counted 14 as starting until the boot time after that order was over. The fault is older; an order that lowers the number shortly before a reclaim shows it.

Change: only what an order added to the replicas that were present counts as starting.

TestLostReplicasAreNotStarting plays it; by reading, the earlier formula gives 14 and not 0 for a lost zone (not run before the change). go test ./internal/core -run 'Replicas|Demand|Crashed|SlowCloud|Odd|Spending|Evacuat|Starting|Order': ok.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -70,7 +70,15 @@
 // acceptedOrder is the last order that the cloud accepted.
 type acceptedOrder struct {
 	count int
-	at    clock.Instant
+	// present is the number of replicas that were there when it was sent.
+	present int
+	at      clock.Instant
+}
+
+// starting returns how many of the ordered replicas are still to come, of which present are there. Replicas that were lost
+// since do not come back.
+func (o acceptedOrder) starting(present int) int {
+	return max(o.count-max(present, o.present), 0)
 }
 
 // demandCounts are the last cumulative counts that an entry daemon reported for a service.
@@ -257,7 +265,7 @@
 	for i := range zones {
 		last := m.ordered[replicaKind{zone: zones[i].Name, spot: true}]
 		if last.at > 0 && now.Sub(last.at) < s.Scaling.Boot+bootTolerance {
-			zones[i].SpotStarting = max(last.count-zones[i].Spot, 0)
+			zones[i].SpotStarting = last.starting(zones[i].Spot)
 		}
 	}
 	return zones
@@ -307,7 +315,7 @@
 	at := replicaKind{zone: o.Zone, spot: o.Spot}
 	switch answer {
 	case duty.Accepted:
-		m.ordered[at] = acceptedOrder{count: o.Replicas, at: now}
+		m.ordered[at] = acceptedOrder{count: o.Replicas, present: o.present, at: now}
 	case duty.SoldOut:
 		m.soldOutUntil[o.Zone] = now.Add(soldOutPause)
 		delete(m.ordered, at)
--- a/internal/core/buying_test.go
+++ b/internal/core/buying_test.go
@@ -88,3 +88,18 @@
 		t.Errorf("3 s after the first request: got %d replicas, want %d to %d", got, want, want*5/4)
 	}
 }
+
+// TestLostReplicasAreNotStarting guards against replicas of a reclaimed zone that count as starting, as the last order named
+// more than are left: on-demand replicas then come seconds late.
+func TestLostReplicasAreNotStarting(t *testing.T) {
+	for _, c := range []struct {
+		ordered, before, present, want int
+	}{
+		{14, 34, 14, 0}, {14, 34, 0, 0}, {14, 0, 0, 14}, {14, 0, 5, 9}, {14, 10, 0, 4}, {14, 10, 12, 2}, {14, 10, 14, 0},
+	} {
+		o := acceptedOrder{count: c.ordered, present: c.before}
+		if got := o.starting(c.present); got != c.want {
+			t.Errorf("%d ordered with %d present, %d now: got %d starting, want %d", c.ordered, c.before, c.present, got, c.want)
+		}
+	}
+}
