Intake: the bounds of heads stand in one place

Cause: 64 KB stood in edge and core, 16 KB in edge and cmd, with the same meaning; the number of connections in a state was changed in two ways. Change: HeadBytes and ProbeHeadBytes of package intake; Limits.set changes a state. Values and behaviour are as before.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -37,8 +37,6 @@
 	// memoryPercent is the share of the memory limit in the settings above which the garbage collector
 	// runs more often.
 	memoryPercent = 80
-	// probeHeaderBytes bounds the heads of requests for metrics.
-	probeHeaderBytes = 16 << 10
 )
 
 // node is an entry or core daemon.
@@ -187,7 +185,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", meter.Handler(registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: time.Second, MaxHeaderBytes: probeHeaderBytes}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ReadTimeout: time.Second, MaxHeaderBytes: intake.ProbeHeadBytes}
 	limits.Track(server)
 	go func() { _ = server.Serve(l) }()
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,8 +45,6 @@
 
 // Settings of the replication group.
 const (
-	// headerBytes bounds the heads of calls.
-	headerBytes = 64 << 10
 	// ElectionTimeout allows for a sync on a slow disk and two round trips.
 	ElectionTimeout = 600 * clock.Millisecond
 	Heartbeat       = 120 * clock.Millisecond
@@ -262,7 +260,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: headerBytes}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: intake.HeadBytes}
 		c.options.Limits.Track(server)
 		c.httpServers = append(c.httpServers, server)
 		go func() { _ = server.Serve(l) }()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,9 +63,6 @@
 	// Limits of callers' connections; those of the rules are tighter or equal.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
-	headerBytes   = 64 << 10
-	// probeHeaderBytes bounds the heads of readiness checks.
-	probeHeaderBytes = 16 << 10
 )
 
 // Options are the replaceable parts of an entry daemon.
@@ -217,16 +214,16 @@
 	})
 	e.group.Go(func() { e.watchProcessor(ctx) })
 	e.callerServer = &http.Server{
-		Handler: e.Proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		Handler: e.Proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: intake.HeadBytes,
 	}
 	abort.Guard(e.callerServer)
 	e.trackers = append(e.trackers, conns.Track(e.callerServer))
-	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: probeHeaderBytes}
+	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, MaxHeaderBytes: intake.ProbeHeadBytes}
 	servers := map[string]*http.Server{e.Settings.Callers: e.callerServer, e.Settings.Readiness: e.readinessServer}
 	if e.Settings.Peers != "" {
 		e.peerServer = &http.Server{
 			Handler: peers.RequireToken(e.Settings.PeerToken, http.HandlerFunc(e.Proxy.ServeHop)), ReadHeaderTimeout: headerTimeout,
-			IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: intake.HeadBytes,
 		}
 		e.trackers = append(e.trackers, conns.Track(e.peerServer))
 		servers[e.Settings.Peers] = e.peerServer
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,9 +7,9 @@
 //
 // All servers of a process share one Limits. A connection waits from its start, or from the first byte of a further
 // request, until a whole request was read from it. Of more than MaxWaiting such connections, the one that has waited
-// longest is closed, and of more than MaxIdle ones between two requests the one that is idle for longest. A body of more than shortBytes takes its
-// memory from BodyBytes as it arrives, until the handler returns. When that is used up, the body that has made no
-// progress for longest gives up its memory; if all make progress, the new one fails with ErrFull.
+// longest is closed, and of more than MaxIdle ones between two requests the one that is idle for longest. A body of more
+// than shortBytes takes its memory from BodyBytes as it arrives, until the handler returns. When that is used up, the
+// body that has made no progress for longest gives up its memory; if all make progress, the new one fails with ErrFull.
 package intake
 
 import (
@@ -40,6 +40,9 @@
 	connectionParts = 4
 	// defaultMemory is the memory of a process whose settings name none.
 	defaultMemory = 256 << 20
+	// HeadBytes bounds the heads of requests, ProbeHeadBytes those of checks and of requests for metrics.
+	HeadBytes      = 64 << 10
+	ProbeHeadBytes = 16 << 10
 	// readBufferBytes is the buffer of the kernel for bytes that have arrived; the kernel doubles it for its own use.
 	readBufferBytes = 64 << 10
 )
@@ -161,10 +164,10 @@
 }
 
 // observe records a change of state. Bytes of a first or further request do not change since when a connection waits.
-func (l *Limits) observe(conn net.Conn, state http.ConnState) {
+func (l *Limits) observe(conn net.Conn, to http.ConnState) {
 	l.mu.Lock()
 	var victim net.Conn
-	switch state {
+	switch to {
 	case http.StateNew:
 		victim = l.change(l.add(conn), waiting)
 	case http.StateIdle:
@@ -184,7 +187,7 @@
 		l.Closed.Add(1)
 		_ = victim.Close()
 	}
-	if state == http.StateNew {
+	if to == http.StateNew {
 		boundReadBuffer(conn)
 	}
 }
@@ -206,9 +209,8 @@
 // change sets the state of a connection. It returns the connection to close if there are too many in that state, which
 // is the oldest of them; nil if there are not.
 func (l *Limits) change(c *client, to state) net.Conn {
-	l.counts[c.state]--
-	l.counts[to]++
-	c.state, c.since = to, time.Now()
+	l.set(c, to)
+	c.since = time.Now()
 	tooMany := to == waiting && l.counts[to] > l.MaxWaiting || to == idle && l.counts[to] > l.MaxIdle
 	if !tooMany {
 		return nil
@@ -219,12 +221,16 @@
 			oldest = other
 		}
 	}
-	l.counts[to]--
-	l.counts[none]++
-	oldest.state = none
+	l.set(oldest, none)
 	return oldest.conn
 }
 
+func (l *Limits) set(c *client, to state) {
+	l.counts[c.state]--
+	l.counts[to]++
+	c.state = to
+}
+
 // Trust marks a request of another daemon, whose body may arrive as a stream without an end, as received.
 func Trust(r *http.Request) {
 	if c := clientOf(r); c != nil {
@@ -251,18 +257,16 @@
 	delete(l.reading, c)
 }
 
-// Waiting returns the number of connections that wait, Idle that of those between two requests.
-func (l *Limits) Waiting() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return int64(l.counts[waiting])
-}
+// Waiting returns the number of connections that wait.
+func (l *Limits) Waiting() int64 { return l.count(waiting) }
 
 // Idle returns the number of connections between two requests.
-func (l *Limits) Idle() int64 {
+func (l *Limits) Idle() int64 { return l.count(idle) }
+
+func (l *Limits) count(s state) int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return int64(l.counts[idle])
+	return int64(l.counts[s])
 }
 
 // Used returns the memory of the bodies.
