--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -190,3 +191,19 @@
 	x.status, x.responseStarted = r.StatusCode, true
 	x.w.WriteHeader(r.StatusCode)
 }
+
+// maxBodyAtOnce is the length of a body up to which its memory is taken before it arrives.
+const maxBodyAtOnce = 4 << 20
+
+// readLength reads n bytes. For more than maxBodyAtOnce it takes memory as they arrive.
+func readLength(r io.Reader, n int64) ([]byte, error) {
+	if n <= maxBodyAtOnce {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	var body bytes.Buffer
+	body.Grow(maxBodyAtOnce)
+	_, err := io.CopyN(&body, r, n)
+	return body.Bytes(), err
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -193,22 +192,6 @@
 	return false
 }
 
-// maxBodyAtOnce is the length of a body up to which its memory is taken before it arrives.
-const maxBodyAtOnce = 4 << 20
-
-// readLength reads n bytes. For more than maxBodyAtOnce it takes memory as they arrive.
-func readLength(r io.Reader, n int64) ([]byte, error) {
-	if n <= maxBodyAtOnce {
-		body := make([]byte, n)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	var body bytes.Buffer
-	body.Grow(maxBodyAtOnce)
-	_, err := io.CopyN(&body, r, n)
-	return body.Bytes(), err
-}
-
 // takeQuota charges the request to the account's quota. If the daemon's grants do not cover it, it
 // requests more from the leader and tries once again. If that fails too, it refuses the request and
 // reports false.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -475,7 +475,7 @@
 		// Two steps belong to each priority.
 		urgency |= 1
 	}
-	return min(urgency, maxUrgency)
+	return urgency
 }
 
 // maxUrgency is the urgency of the requests that engines serve last.
