Zone: the list is printed as the other commands print

Cause: zone list wrote JSON and tables by code of its own beside operator.print. Change: both call printTo.

--- a/cmd/swiftbeam/operate.go
+++ b/cmd/swiftbeam/operate.go
@@ -54,10 +54,15 @@
 
 // print writes v as JSON with the flag --json, and otherwise calls text to write a table.
 func (o *operator) print(v any, text func(io.Writer)) error {
-	if o.asJSON {
-		return json.NewEncoder(os.Stdout).Encode(v)
+	return printTo(os.Stdout, o.asJSON, v, text)
+}
+
+// printTo writes v as JSON, or calls text to write a table.
+func printTo(to io.Writer, asJSON bool, v any, text func(io.Writer)) error {
+	if asJSON {
+		return json.NewEncoder(to).Encode(v)
 	}
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
 	text(w)
 	return w.Flush()
 }
--- a/cmd/swiftbeam/zone.go
+++ b/cmd/swiftbeam/zone.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -35,10 +33,12 @@
 			if err != nil {
 				return err
 			}
-			if asJSON {
-				return json.NewEncoder(c.OutOrStdout()).Encode(list)
-			}
-			return printZones(c.OutOrStdout(), list)
+			return printTo(c.OutOrStdout(), asJSON, list, func(w io.Writer) {
+				fmt.Fprintln(w, "ZONE\tSINCE\tBY\tREVISION")
+				for _, e := range list {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", e.Zone, time.UnixMilli(e.SinceMs).UTC().Format(time.RFC3339), e.By, e.Revision)
+				}
+			})
 		}},
 	)
 	return c
@@ -55,12 +55,3 @@
 		return err
 	}}
 }
-
-func printZones(to io.Writer, list []platform.Evacuation) error {
-	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "ZONE\tSINCE\tBY\tREVISION")
-	for _, e := range list {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", e.Zone, time.UnixMilli(e.SinceMs).UTC().Format(time.RFC3339), e.By, e.Revision)
-	}
-	return w.Flush()
-}
