--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -23,7 +23,7 @@
 		return fault.New(fault.Invalid, "no server, daemon or price is in the availability zone %s", valid.Quote(zone)).
 			Remedy("check the name, for instance against the zones of the rules")
 	}
-	return c.changeEvacuation(ctx, zone, state.EvacuateZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
+	return c.changeEvacuation(ctx, zone, "zone evacuated", state.EvacuateZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
 }
 
 // ReturnZone commits an operator's request to end the evacuation of an availability zone.
@@ -31,7 +31,7 @@
 	if err := checkZone(zone); err != nil {
 		return err
 	}
-	return c.changeEvacuation(ctx, zone, state.ReturnZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
+	return c.changeEvacuation(ctx, zone, "zone returned", state.ReturnZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
 }
 
 func checkZone(zone string) error {
@@ -49,13 +49,10 @@
 	return by
 }
 
-func (c *Core) changeEvacuation(ctx context.Context, zone string, body state.Body) error {
+// changeEvacuation commits an order about a zone, with the message for the log once it is committed.
+func (c *Core) changeEvacuation(ctx context.Context, zone, message string, body state.Body) error {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout.Std()+commitTimeout.Std())
 	defer cancel()
-	message := "zone returned"
-	if _, ok := body.(state.EvacuateZone); ok {
-		message = "zone evacuated"
-	}
 	result, err := c.propose(ctx, body)
 	if err != nil {
 		c.log.Info("evacuation not committed", "zone", zone, "what", message, "error", err.Error())
