--- a/internal/scale/mix_test.go
+++ b/internal/scale/mix_test.go
@@ -48,13 +48,11 @@
 }
 
 func (w *cloudSim) step(required int) {
-	w.stepTo(func() []ZoneTarget {
-		return w.mix.Decide(w.now, required, Bounds{Min: 1, Max: 6, SpotPrice: 0.18}, w.zones)
-	})
+	w.stepIn(required, Bounds{Min: 1, Max: 6, SpotPrice: 0.18})
 }
 
-// stepTo advances the time by a step and orders what decide returns.
-func (w *cloudSim) stepTo(decide func() []ZoneTarget) {
+// stepIn advances the time by a step and orders what Decide returns within the bounds.
+func (w *cloudSim) stepIn(required int, bounds Bounds) {
 	w.now = w.now.Add(stepTime)
 	var rest []boot
 	for _, b := range w.booting {
@@ -76,7 +74,7 @@
 			}
 		}
 	}
-	for i, want := range decide() {
+	for i, want := range w.mix.Decide(w.now, required, bounds, w.zones) {
 		w.order(i, want)
 	}
 	for _, z := range w.zones {
@@ -236,7 +234,7 @@
 // of them, and loses the spot replicas of a zone 3 s later while no others are available. A decision by the demand alone
 // replaces the replicas by fewer spot ones before the traffic starts, and has too few for the boot time of a replica.
 func TestLoadThatIsAboutToStartFindsItsReplicas(t *testing.T) {
-	const required, minimum = 13, 9
+	const required, minimum, present = 13, 9, 15
 	play := func(keeps bool) (short clock.Duration) {
 		w := newCloudSim(0)
 		for i, n := range []int{4, 4, 4, 3} {
@@ -249,11 +247,11 @@
 			}
 			switch {
 			case at >= 17*clock.Second:
-				w.stepTo(func() []ZoneTarget { return w.mix.Decide(w.now, required, bounds, w.zones) })
+				w.stepIn(required, bounds)
 			case keeps:
-				w.stepTo(func() []ZoneTarget { return w.mix.Decide(w.now, 15, bounds, w.zones) })
+				w.stepIn(present, bounds)
 			default:
-				w.stepTo(func() []ZoneTarget { return w.mix.Decide(w.now, minimum, bounds, w.zones) })
+				w.stepIn(minimum, bounds)
 			}
 			if at >= 14*clock.Second && w.serving() < required {
 				short += stepTime
--- a/internal/turns/cold_test.go
+++ b/internal/turns/cold_test.go
@@ -144,7 +144,7 @@
 		restarted int
 		cut       int
 	}{
-		{name: "all in touch", daemons: 82, perSecond: 10, rate: 1500},
+		{name: "all connected", daemons: 82, perSecond: 10, rate: 1500},
 		{name: "few daemons", daemons: 3, perSecond: 10, rate: 1500},
 		{name: "hundreds of daemons", daemons: 390, perSecond: 10, rate: 3000},
 		{name: "half restarted", daemons: 82, perSecond: 10, rate: 1500, restarted: 41},
