--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/ ./review/_tools-2/stage
+go build -o target/review/ ./review/_tools-2/stage ./review/_tools-2/farewell
