--- a/review/_tools-2/farewell/main.go
+++ b/review/_tools-2/farewell/main.go
@@ -27,7 +27,7 @@
 	"time"
 )
 
-// Bounds of sites/barros-oficina.
+// Bounds of the small sites.
 const (
 	heartbeat = 1200 * time.Millisecond
 	drain     = 2000 * time.Millisecond
@@ -288,7 +288,7 @@
 	}
 }
 
-// write writes the settings as platform/settings.jsonc gives them for a machine of sites/barros-oficina.
+// write writes the settings as platform/settings.jsonc gives them for a machine of a small site.
 func (p *process) write(d *deployment, found bool) {
 	listen := fmt.Sprintf(`"callers": "%s:%d", "peers": "%s:%d", "readiness": "%s:%d"`, p.address, callerPort, p.address, peerPort, p.address, readyPort)
 	data := ""
