--- a/review/_tools-2/farewell/main.go
+++ b/review/_tools-2/farewell/main.go
@@ -122,6 +122,7 @@
 		}
 		_ = os.RemoveAll(folder)
 	}()
+	go watchStalls()
 	d.start()
 	d.putRules()
 	for i := range replicas {
@@ -166,9 +167,44 @@
 	time.Sleep(time.Second)
 	close(ended)
 	clients.Wait()
+	d.checkRun()
 	return d.judge(leaver, acked, trouble)
 }
 
+// maxStall is how long this command may stand still. Beyond that, what it saw may be late by itself.
+const maxStall = 500 * time.Millisecond
+
+var longestStall atomic.Int64
+
+// watchStalls records for how long this command did not run.
+func watchStalls() {
+	const interval = 20 * time.Millisecond
+	for {
+		at := time.Now()
+		time.Sleep(interval)
+		if stall := int64(time.Since(at) - interval); stall > longestStall.Load() {
+			longestStall.Store(stall)
+		}
+	}
+}
+
+// checkRun ends the command if a daemon has ended by itself, or if the command stood still.
+func (d *deployment) checkRun() {
+	for _, p := range append(append([]*process(nil), d.cores...), d.entries...) {
+		p.mu.Lock()
+		ended := p.ended
+		p.mu.Unlock()
+		select {
+		case <-ended:
+			cannotRun("%s has ended by itself", p.name)
+		default:
+		}
+	}
+	if stall := time.Duration(longestStall.Load()); stall > maxStall {
+		cannotRun("this command stood still for %v", stall)
+	}
+}
+
 // judge counts the requests that a client sent, and that reached the replica, later than drainMs after the acknowledgement,
 // while all entry daemons were in touch: later than contactMs after the core daemon was killed, and before it was started
 // again.
