core: log when a call to the cloud was allowed, written and answered

Change: both kinds of call pass through callCloud, whose lines carry the age of the contact with a quorum and the times of writing and answer; three metrics. No change of what is sent. Measured: go test ./internal/core -run 'TestFormerLeader|TestUsage|TestSlowCloud|Buying|TestForgotten' passes.

--- a/internal/core/buying.go
+++ b/internal/core/buying.go
@@ -6,7 +6,6 @@
 
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/rules"
-	"swiftbeam/internal/runner"
 	"swiftbeam/internal/scale"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/window"
@@ -271,16 +270,6 @@
 	return zones
 }
 
-// waitForRate pauses before a call to the cloud to stay within the configured rate.
-func (c *Core) waitForRate(ctx context.Context) {
-	now := c.clock.Now()
-	c.mu.Lock()
-	at := max(now, c.duties.nextCallAt)
-	c.duties.nextCallAt = at.Add(clock.Duration(1000 / max(c.Settings.Duties.CallsPerSecond, 1)))
-	c.mu.Unlock()
-	runner.Pause(ctx, at.Sub(now))
-}
-
 // isDue reports whether an order differs from the last one, or has to be repeated because its effect is
 // not visible.
 func (c *Core) isDue(m *serviceState, o zoneOrder) bool {
@@ -299,25 +288,22 @@
 
 // sendOrder sends an order.
 func (c *Core) sendOrder(ctx context.Context, m *serviceState, o zoneOrder, required int) {
-	c.waitForRate(ctx)
-	now := c.clock.Now()
-	fence, ok := c.beginCall()
-	if !ok {
+	call := c.callCloud(ctx, func(ctx context.Context, h duty.Holder) (duty.Answer, error) {
+		return c.options.Cloud.Scale(ctx, h, o.Order)
+	})
+	if call == nil {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
-	defer cancel()
-	answer, err := c.options.Cloud.Scale(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, o.Order)
-	c.log.Info("replicas ordered", "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas, "serving", o.present,
-		"need", required, "fence", fence, "answer", answer.String(), "tookMs", int64(c.clock.Now().Sub(now)), "error", errorText(err))
+	c.log.Info("replicas ordered", append(call.fields(), "service", o.Service, "zone", o.Zone, "spot", o.Spot, "replicas", o.Replicas,
+		"serving", o.present, "need", required)...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at := replicaKind{zone: o.Zone, spot: o.Spot}
-	switch answer {
+	switch call.answer {
 	case duty.Accepted:
-		m.ordered[at] = acceptedOrder{count: o.Replicas, present: o.present, at: now}
+		m.ordered[at] = acceptedOrder{count: o.Replicas, present: o.present, at: call.allowedAt}
 	case duty.SoldOut:
-		m.soldOutUntil[o.Zone] = now.Add(soldOutPause)
+		m.soldOutUntil[o.Zone] = call.allowedAt.Add(soldOutPause)
 		delete(m.ordered, at)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,6 +121,7 @@
 	departures *ring.Ring[departure]
 	// departuresRefused counts the departures that could not be recorded.
 	departuresRefused atomic.Int64
+	calls             callCounts
 
 	mu sync.Mutex
 	// notified is the state that followers were last notified of.
@@ -186,6 +187,7 @@
 // registerMetrics registers the metrics of the daemon.
 func (c *Core) registerMetrics(r metrics.Registry) {
 	c.commitTimes = meter.NewHistogram(r, "core.commitMs")
+	c.calls.register(r)
 	meter.RegisterGauge(r, "core.departuresRefused", c.departuresRefused.Load)
 	meter.RegisterGauge(r, "core.applied", func() int64 { return int64(c.Store.Status().Applied) })
 	meter.RegisterGauge(r, "core.term", func() int64 { return int64(c.Store.Status().Term) })
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -13,7 +13,6 @@
 	"swiftbeam/internal/loads"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/pace"
-	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/quota"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/turns"
@@ -31,8 +30,6 @@
 	// incompletePercent is the percentage of the time until a usage report is due during which the
 	// report waits for the counts of partitioned entry daemons. Afterwards it is sent without them.
 	incompletePercent = 55
-	// cloudTimeout bounds a call to the cloud.
-	cloudTimeout = clock.Second
 )
 
 // dutyState is the state of the leader's duties, built from the reports of entry daemons.
@@ -329,33 +326,6 @@
 	return true
 }
 
-// maySend reports whether a call to the cloud may be sent now.
-func (c *Core) maySend() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.maySendLocked()
-}
-
-func (c *Core) maySendLocked() bool {
-	s, status := c.Settings.Duties, c.Store.Status()
-	if status.Role != quorum.Leader || status.Term != c.duties.tenureTerm {
-		return false
-	}
-	return c.duties.tenure.MaySend(c.clock.Now(), status.ContactAt, duty.Settings{Lease: s.Lease, MaxPause: s.Thaw, MaxTransit: cloudTimeout, MaxContactAge: ElectionTimeout / 2})
-}
-
-// beginCall records that a call to the cloud is sent now, and returns its fencing number. It reports false
-// if no call may be sent.
-func (c *Core) beginCall() (uint64, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.maySendLocked() {
-		return 0, false
-	}
-	c.duties.tenure.Sent(c.clock.Now())
-	return c.duties.tenure.Fence, true
-}
-
 // reportUsage records the usage windows that have ended and reports them to the cloud. Counts are
 // committed before they are sent, so every repeated report contains the same numbers.
 func (c *Core) reportUsage(ctx context.Context) {
@@ -417,16 +387,14 @@
 			return false
 		}
 	}
-	c.waitForRate(ctx)
-	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
-	defer cancel()
-	fence, ok := c.beginCall()
-	if !ok {
+	call := c.callCloud(ctx, func(ctx context.Context, h duty.Holder) (duty.Answer, error) {
+		return c.options.Cloud.ReportUsage(ctx, h, recorded)
+	})
+	if call == nil {
 		return false
 	}
-	answer, err := c.options.Cloud.ReportUsage(call, duty.Holder{Name: c.Settings.Name, Fence: fence}, recorded)
-	c.log.Info("usage reported", "window", number, "fence", fence, "answer", answer.String(), "error", errorText(err), "accounts", len(recorded.Counts))
-	return answer == duty.Accepted
+	c.log.Info("usage reported", append(call.fields(), "window", number, "accounts", len(recorded.Counts))...)
+	return call.answer == duty.Accepted
 }
 
 func (c *Core) recordedUsage(number uint64) (state.Usage, bool) {
