duty: check the right to send a call again before each system call that sends a part of it

Operators saw two holders of the duties act in turn, and a lower fence after a pause of the leader. Cause: the right to send was checked before the connection was opened. The call was then handed over to the goroutines of the HTTP transport, which sent it whenever they ran; of a deadline that had passed and a connection that was ready, either won. Class: a check whose answer is used later than it holds. Change: the call is sent by the goroutine that checks. The gate of the call is opened once the connection is; it asks for the duties again and returns until when the contact with the quorum allows to send, which is compared before each write, as is the deadline. TCP_USER_TIMEOUT ends retransmissions at the deadline, also while the process is paused. The deadline begins before the decision.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -54,13 +54,14 @@
 // callCloud makes a call to the cloud when the rate of calls allows it. It returns nil if this daemon may send no call then.
 func (c *Core) callCloud(ctx context.Context, do func(context.Context, duty.Holder) (duty.Answer, error)) *cloudCall {
 	c.waitForRate(ctx)
+	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
+	defer cancel()
 	l, ok := c.beginCall()
 	if !ok {
 		return nil
 	}
 	c.calls.allowed.Add(1)
-	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
-	defer cancel()
+	call = duty.WithGate(call, duty.Gate{Clock: c.clock, Open: func() (clock.Instant, bool) { return c.maySendUntil(l.holder.Fence) }})
 	written := atomic.Int64{}
 	call = httptrace.WithClientTrace(call, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil {
@@ -94,11 +95,27 @@
 }
 
 func (c *Core) maySendLocked() bool {
-	s, status := c.Settings.Duties, c.Store.Status()
+	status := c.Store.Status()
 	if status.Role != quorum.Leader || status.Term != c.duties.tenureTerm {
 		return false
 	}
-	return c.duties.tenure.MaySend(c.clock.Now(), status.ContactAt, duty.Settings{Lease: s.Lease, MaxPause: s.Thaw, MaxTransit: cloudTimeout, MaxContactAge: ElectionTimeout / 2})
+	return c.duties.tenure.MaySend(c.clock.Now(), status.ContactAt, c.dutySettings())
+}
+
+func (c *Core) dutySettings() duty.Settings {
+	s := c.Settings.Duties
+	return duty.Settings{Lease: s.Lease, MaxPause: s.Thaw, MaxTransit: cloudTimeout, MaxContactAge: ElectionTimeout / 2}
+}
+
+// maySendUntil returns the time until which a call with a fencing number may be sent, and reports whether it may be sent now.
+func (c *Core) maySendUntil(fence uint64) (clock.Instant, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.duties.tenure.Fence != fence || !c.maySendLocked() {
+		return 0, false
+	}
+	s := c.dutySettings()
+	return s.SendBy(c.Store.Status().ContactAt), true
 }
 
 // beginCall records that a call to the cloud is sent now. It reports false if no call may be sent.
--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,3 +102,24 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
+const tcpUserTimeout = 18
+
+// SetAckTimeout makes the system end a connection when data is not acknowledged in time. It overrides the number of keep-alive
+// probes.
+func SetAckTimeout(conn syscall.Conn, d clock.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access the socket")
+	}
+	var setErr error
+	err = raw.Control(func(fd uintptr) { setErr = SetAckTimeoutOf(fd, d) })
+	return errors.CombineErrors(err, setErr)
+}
+
+// SetAckTimeoutOf is SetAckTimeout for a socket.
+func SetAckTimeoutOf(fd uintptr, d clock.Duration) error {
+	err := syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(max(d, 1)))
+	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+}
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -1,32 +1,181 @@
 package duty
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"swiftbeam/internal/dial"
+	"swiftbeam/pkg/clock"
 )
 
 // dialTimeout bounds the opening of a connection to the cloud.
 const dialTimeout = time.Second
 
-// NewClient returns an HTTP client whose connections are reset when a call's context ends, so that
-// the kernel does not retransmit the call later, when another holder may already have sent one.
-func NewClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DisableKeepAlives: true,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
+// ErrUnsent marks the errors of calls of which nothing was sent.
+var ErrUnsent = errors.New("nothing of the call was sent")
+
+// errLate is the error of a call whose time to be sent has passed.
+var errLate = errors.New("the call was not ready in time and may no longer be sent; it is decided anew")
+
+// Gate decides about a call when its connection is open.
+type Gate struct {
+	Clock clock.Clock
+	// Open returns the time until which the call may be sent, and reports whether it may be sent at all.
+	Open func() (until clock.Instant, ok bool)
+}
+
+type gateKey struct{}
+
+// WithGate returns a context for a call that must pass a gate.
+func WithGate(ctx context.Context, g Gate) context.Context {
+	return context.WithValue(ctx, gateKey{}, g)
+}
+
+// NewClient returns an HTTP client for calls that must not arrive late. The gate of a call's context and its deadline are
+// checked again before each system call that sends a part of it. Its connection is reset when the context ends, and
+// the kernel gives up at the deadline, also while the process is paused.
+func NewClient() *http.Client { return &http.Client{Transport: transport{}} }
+
+// transport makes each call over a connection of its own.
+type transport struct{}
+
+// RoundTrip sends a request and returns the response, whose body must be closed.
+func (transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx := r.Context()
+	request := r.Clone(ctx)
+	request.Close = true
+	var data bytes.Buffer
+	if err := request.Write(&data); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "encode the call"), ErrUnsent)
+	}
+	c, err := connect(ctx, r.URL.Host)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnsent)
+	}
+	if err := c.send(ctx, data.Bytes()); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		_ = c.Close()
+		return nil, errors.Wrap(err, "read the response")
+	}
+	response.Body = body{Reader: response.Body, conn: c}
+	return response, nil
+}
+
+// body is the body of a response, with whose end the connection is closed.
+type body struct {
+	io.Reader
+	conn *conn
+}
+
+// Close closes the connection.
+func (b body) Close() error { return b.conn.Close() }
+
+// conn is the connection of a call.
+type conn struct {
+	*net.TCPConn
+	// release ends the wait for the end of the call's context.
+	release func() bool
+}
+
+// Close resets the connection.
+func (c *conn) Close() error {
+	c.release()
+	return c.TCPConn.Close()
+}
+
+// connect opens a connection that ends with ctx.
+func connect(ctx context.Context, address string) (*conn, error) {
+	opened, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect to the cloud")
+	}
+	tcp, ok := opened.(*net.TCPConn)
+	if !ok {
+		return nil, errors.Newf("got a connection of type %T, want a TCP connection", opened)
+	}
+	err = tcp.SetLinger(0)
+	if deadline, ok := ctx.Deadline(); ok && err == nil {
+		err = errors.CombineErrors(tcp.SetDeadline(deadline), dial.SetAckTimeout(tcp, clock.FromStd(time.Until(deadline))))
+	}
+	if err != nil {
+		_ = tcp.Close()
+		return nil, errors.Wrap(err, "set the options of the connection")
+	}
+	c := &conn{TCPConn: tcp}
+	c.release = context.AfterFunc(ctx, func() { _ = tcp.Close() })
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Conn: tcp})
+	}
+	return c, nil
+}
+
+// send writes a call for as long as it may be sent.
+func (c *conn) send(ctx context.Context, data []byte) error {
+	isLate, err := newLimit(ctx)
+	if err != nil {
+		return errors.Mark(err, ErrUnsent)
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return errors.Mark(err, ErrUnsent)
+	}
+	sent := 0
+	waitErr := raw.Write(func(fd uintptr) bool {
+		for sent < len(data) {
+			// Nothing that can take long may come between the check and the system call.
+			if isLate() {
+				err = errLate
+				return true
 			}
-			if tcp, ok := conn.(*net.TCPConn); ok {
-				err = tcp.SetLinger(0)
+			var n int
+			n, err = syscall.Write(int(fd), data[sent:])
+			sent += max(n, 0)
+			switch {
+			case errors.Is(err, syscall.EAGAIN):
+				return false
+			case err != nil && !errors.Is(err, syscall.EINTR):
+				return true
 			}
-			return conn, errors.Wrap(err, "disable lingering of the connection")
-		},
-	}}
+		}
+		return true
+	})
+	if err = errors.CombineErrors(err, waitErr); err != nil {
+		err = errors.Wrap(err, "send the call")
+		if sent == 0 {
+			err = errors.Mark(err, ErrUnsent)
+		}
+	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.WroteRequest != nil {
+		trace.WroteRequest(httptrace.WroteRequestInfo{Err: err})
+	}
+	return err
+}
+
+// newLimit opens the gate of a call and returns a function that reports whether it is too late to send more of the call.
+func newLimit(ctx context.Context) (isLate func() bool, err error) {
+	deadline, limited := ctx.Deadline()
+	g, gated := ctx.Value(gateKey{}).(Gate)
+	until := clock.Instant(0)
+	if gated {
+		var ok bool
+		if until, ok = g.Open(); !ok {
+			return nil, errLate
+		}
+	}
+	return func() bool {
+		return limited && !time.Now().Before(deadline) || gated && g.Clock.Now().After(until)
+	}, nil
 }
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,12 +1,13 @@
 // Package duty decides when the leader of the core daemons may call the cloud. The cloud does not
 // check fencing numbers, so calls of different holders of the duties are kept apart in time. A new
 // holder waits until the calls of the previous holder must have arrived. A holder stops sending soon
-// after it loses contact with a quorum. A daemon that acquires the duties again first waits for the
+// after it loses contact with a quorum, also in the middle of a call. A daemon that acquires the duties again first waits for the
 // lease to end:
 //
 //	tenure.Begin(now, fence)                        // a commit granted the duties
 //	if tenure.MaySend(now, contactAt, settings) {
 //		tenure.Sent(now)
+//		ctx = duty.WithGate(ctx, gate)              // asks again when the connection is open
 //	}
 package duty
 
@@ -51,6 +52,11 @@
 	MaxContactAge clock.Duration
 }
 
+// SendBy returns the time until which a call may be sent after a contact with a quorum.
+func (s *Settings) SendBy(contactAt clock.Instant) clock.Instant {
+	return contactAt.Add(s.MaxContactAge)
+}
+
 // Tenure is the time during which one daemon holds the duties. In the zero value, this daemon does
 // not hold them.
 type Tenure struct {
@@ -81,7 +87,7 @@
 
 // MaySend reports whether the holder may send a call now. ContactAt is its last contact with a quorum.
 func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
-	if t.Fence == 0 || now.Sub(t.BeganAt) < s.MaxTransit+s.MaxPause || now.Sub(contactAt) > s.MaxContactAge {
+	if t.Fence == 0 || now.Sub(t.BeganAt) < s.MaxTransit+s.MaxPause || now.After(s.SendBy(contactAt)) {
 		return false
 	}
 	return !t.othersSent || now.Sub(t.sentAt) >= s.Lease+s.MaxPause
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -232,7 +232,7 @@
 		Enable: true, Idle: keepAliveIdle.Std(), Interval: keepAliveInterval.Std(), Count: keepAliveProbes,
 	}, Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout))
+			_ = dial.SetAckTimeoutOf(fd, ackTimeout)
 		})
 	}}
 	open := p.Dial
@@ -271,9 +271,6 @@
 	return n, err
 }
 
-// tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall does not define.
-const tcpUserTimeout = 18
-
 func (p *Pool) releaseSlot(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
