duty: count the lease from the arrival of a call

Operators saw holders A, B, A within the lease. Cause: a daemon that acquired the duties again waited for lease and thaw from the time at which it sent its last call. Class: a bound that sender and receiver count from different instants. Change: the tenure keeps until when each call that has not ended may arrive, and counts from there. An answer settles a call at its time; a call that got none counts until MaxTransit; one of which nothing was sent does not count. The start of a process stays as it is, as the connections of the process before are reset with it, so that a planned restart waits as long as before. TestCallThatIsStuckStopsWithTheLease opens its gate when asked, as the preparation of its body takes longer than the gate beside load.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -5,6 +5,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/duty"
@@ -31,6 +32,7 @@
 // cloudCall is one call to the cloud, with the times at which it was allowed, written and answered.
 type cloudCall struct {
 	holder     duty.Holder
+	number     duty.Call
 	allowedAt  clock.Instant
 	contactAge clock.Duration
 	writtenAt  clock.Instant
@@ -71,10 +73,23 @@
 	}})
 	l.answer, l.err = do(call, l.holder)
 	l.writtenAt, l.answeredAt = clock.Instant(written.Load()), c.clock.Now()
-	if l.err != nil {
+	c.endCall(l)
+	return l
+}
+
+// endCall records how a call has ended.
+func (c *Core) endCall(l *cloudCall) {
+	outcome := duty.Answered
+	switch {
+	case errors.Is(l.err, duty.ErrUnsent):
+		outcome = duty.Unsent
+	case l.err != nil:
+		outcome = duty.Unanswered
 		c.calls.unanswered.Add(1)
 	}
-	return l
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.duties.tenure.Ended(l.answeredAt, l.number, outcome)
 }
 
 // waitForRate pauses before a call to the cloud to stay within the configured rate.
@@ -126,9 +141,8 @@
 		return nil, false
 	}
 	now := c.clock.Now()
-	c.duties.tenure.Sent(now)
 	return &cloudCall{
-		holder: duty.Holder{Name: c.Settings.Name, Fence: c.duties.tenure.Fence}, allowedAt: now,
+		holder: duty.Holder{Name: c.Settings.Name, Fence: c.duties.tenure.Fence}, number: c.duties.tenure.Sent(now, c.dutySettings()), allowedAt: now,
 		contactAge: now.Sub(c.Store.Status().ContactAt),
 	}, true
 }
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -52,8 +52,7 @@
 func TestCallThatIsStuckStopsWithTheLease(t *testing.T) {
 	const size = 32 << 20
 	c := clock.Start()
-	until := c.Now().Add(100)
-	received, err := callSlowServer(t, size, 400*time.Millisecond, func() (clock.Instant, bool) { return until, true }, c)
+	received, err := callSlowServer(t, size, 400*time.Millisecond, func() (clock.Instant, bool) { return c.Now().Add(100), true }, c)
 	if !errors.Is(err, errLate) || errors.Is(err, ErrUnsent) {
 		t.Errorf("got error %v, want that the call is late, though a part was sent", err)
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -6,14 +6,16 @@
 //
 //	tenure.Begin(now, fence)                        // a commit granted the duties
 //	if tenure.MaySend(now, contactAt, settings) {
-//		tenure.Sent(now)
+//		call := tenure.Sent(now, settings)
 //		ctx = duty.WithGate(ctx, gate)              // asks again when the connection is open
+//		...
+//		tenure.Ended(now, call, duty.Answered)
 //	}
 package duty
 
 import "swiftbeam/pkg/clock"
 
-//go:generate ../../.tools/stringer -type=Answer -output=answer_string.go
+//go:generate ../../.tools/stringer -type=Answer,Outcome -output=enums_string.go
 
 // Holder identifies the holder of the duties that makes a call.
 type Holder struct {
@@ -57,20 +59,37 @@
 	return contactAt.Add(s.MaxContactAge)
 }
 
+// Outcome is what is known of a call that has ended.
+type Outcome uint8
+
+// Outcomes of calls.
+const (
+	Unanswered Outcome = iota // the call may have arrived, or may still arrive within MaxTransit
+	Answered                  // the call has arrived
+	Unsent                    // nothing of the call was sent
+)
+
+// Call identifies a call of a tenure.
+type Call uint64
+
 // Tenure is the time during which one daemon holds the duties. In the zero value, this daemon does
 // not hold them.
 type Tenure struct {
 	Fence   uint64
 	BeganAt clock.Instant
-	// sentAt is the time of the last call of any tenure of this process. Before the first call it is
-	// the start of the process, as calls of an earlier process on this VM are unknown.
-	sentAt clock.Instant
-	// othersSent reports whether other holders may have sent calls since sentAt.
+	// arrivedBy is the time by which all calls of this process that have ended have arrived, or from which on they cannot
+	// arrive any more. Before the first call it is the start of the process, as calls of an earlier process on this
+	// VM are unknown; its connections were reset with it.
+	arrivedBy clock.Instant
+	// open contains the times until which the calls that have not ended may arrive.
+	open map[Call]clock.Instant
+	last Call
+	// othersSent reports whether other holders may have sent calls since the last one of this process.
 	othersSent bool
 }
 
 // Start records the start of the process.
-func (t *Tenure) Start(now clock.Instant) { t.sentAt, t.othersSent = now, true }
+func (t *Tenure) Start(now clock.Instant) { t.arrivedBy, t.othersSent = now, true }
 
 // Begin records that a commit granted the duties with a fencing number.
 func (t *Tenure) Begin(now clock.Instant, fence uint64) {
@@ -82,13 +101,42 @@
 // End records that the duties are lost.
 func (t *Tenure) End() { t.Fence, t.BeganAt = 0, 0 }
 
-// Sent records that a call is sent.
-func (t *Tenure) Sent(now clock.Instant) { t.sentAt, t.othersSent = now, false }
+// Sent records that a call is about to be sent, which must arrive within MaxTransit or not at all.
+func (t *Tenure) Sent(now clock.Instant, s Settings) Call {
+	if t.open == nil {
+		t.open = make(map[Call]clock.Instant)
+	}
+	t.last++
+	t.open[t.last], t.othersSent = now.Add(s.MaxTransit), false
+	return t.last
+}
+
+// Ended records the outcome of a call.
+func (t *Tenure) Ended(now clock.Instant, call Call, outcome Outcome) {
+	until := t.open[call]
+	delete(t.open, call)
+	switch outcome {
+	case Unanswered:
+		t.arrivedBy = max(t.arrivedBy, until)
+	case Answered:
+		t.arrivedBy = max(t.arrivedBy, min(now, until))
+	case Unsent:
+	}
+}
+
+// mayArriveUntil returns the time from which on no call of this process that was sent so far can arrive.
+func (t *Tenure) mayArriveUntil() clock.Instant {
+	latest := t.arrivedBy
+	for _, until := range t.open {
+		latest = max(latest, until)
+	}
+	return latest
+}
 
 // MaySend reports whether the holder may send a call now. ContactAt is its last contact with a quorum.
 func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
 	if t.Fence == 0 || now.Sub(t.BeganAt) < s.MaxTransit+s.MaxPause || now.After(s.SendBy(contactAt)) {
 		return false
 	}
-	return !t.othersSent || now.Sub(t.sentAt) >= s.Lease+s.MaxPause
+	return !t.othersSent || now.Sub(t.mayArriveUntil()) >= s.Lease+s.MaxPause
 }
