clock: count the time for which the VM was suspended

Cause, by reading: leases are counted by Go's monotonic clock. A leader that was suspended takes its contact with the quorum for fresh on its return, and may call the cloud and grant quota for up to 0.3 and 0.6 s, though another one leads. Class: a lease that outlasts the contact it stands for. Change: clock.Real adds the difference between boot clock and monotonic clock, read at each tick of the store, each 250 ms at entry daemons, and before each write of a call to the cloud. Core daemons log pauses as entry daemons do.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -124,6 +124,7 @@
 
 // maySendUntil returns the time until which a call with a fencing number may be sent, and reports whether it may be sent now.
 func (c *Core) maySendUntil(fence uint64) (clock.Instant, bool) {
+	clock.Refresh(c.clock)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.duties.tenure.Fence != fence || !c.maySendLocked() {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -253,6 +253,7 @@
 	c.tasks.Go(func() { c.crashes.Run(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, spendingInterval, func() { c.recordSpending(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
+	c.tasks.Go(func() { c.watchProcessor(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, stepInterval, func() { c.stepRollouts(ctx) }) })
 	return nil
@@ -304,6 +305,15 @@
 	c.tasks.Wait()
 }
 
+// watchProcessor logs pauses of the process until ctx ends.
+func (c *Core) watchProcessor(ctx context.Context) {
+	runner.EveryLag(ctx, c.clock, func(late clock.Duration) {
+		if late > runner.PauseTime {
+			c.log.Info("process was paused", "forMs", int64(late))
+		}
+	})
+}
+
 // watchState calls refresh after each change of the replicated state.
 func (c *Core) watchState(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -176,6 +176,9 @@
 		}
 	}
 	return func() bool {
+		if gated {
+			clock.Refresh(g.Clock)
+		}
 		return limited && !time.Now().Before(deadline) || gated && g.Clock.Now().After(until)
 	}, nil
 }
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -74,3 +74,17 @@
 		}
 	}
 }
+
+// suspendedClock is the clock of a VM that was suspended for 5 s after the last call of Refresh.
+type suspendedClock struct{ clock.Manual }
+
+func (c *suspendedClock) Refresh() { c.Advance(5 * clock.Second) }
+
+// TestSuspendedHolderSendsNoCall guards against calls of a VM that was suspended, whose monotonic clock does not show it.
+func TestSuspendedHolderSendsNoCall(t *testing.T) {
+	c := &suspendedClock{}
+	received, err := callSlowServer(t, 100, 0, func() (clock.Instant, bool) { return c.Now().Add(300), true }, c)
+	if !errors.Is(err, ErrUnsent) || received > 0 {
+		t.Errorf("got error %v and %d bytes sent, want none and ErrUnsent", err, received)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -336,26 +336,14 @@
 	}
 }
 
-const (
-	// lagInterval is the interval at which the daemon checks how late its timers are.
-	lagInterval = 250 * clock.Millisecond
-	// pauseTime is how late a timer is at least after the process was paused, or its VM suspended.
-	pauseTime = 400 * clock.Millisecond
-)
-
-// watchProcessor observes how late timers are until ctx ends: a little while the processor is used up, and much
-// when the process was paused.
+// watchProcessor observes how late timers are until ctx ends.
 func (e *Edge) watchProcessor(ctx context.Context) {
-	last := e.clock.Now()
-	runner.Every(ctx, lagInterval, func() {
-		now := e.clock.Now()
-		late := max(now.Sub(last)-lagInterval, 0)
-		last = now
+	runner.EveryLag(ctx, e.clock, func(late clock.Duration) {
 		if e.Settings.EvacuateWithin > 0 {
 			e.Proxy.Tick()
 		}
 		e.Proxy.Room.ObserveLag(late)
-		if late > pauseTime {
+		if late > runner.PauseTime {
 			e.Proxy.Resumed()
 			e.log.Info("process was paused", "forMs", int64(late))
 		}
--- a/internal/runner/lifecycle.go
+++ b/internal/runner/lifecycle.go
@@ -202,6 +202,27 @@
 	}
 }
 
+const (
+	// lagInterval is the interval at which EveryLag checks how late timers are.
+	lagInterval = 250 * clock.Millisecond
+	// PauseTime is how late a timer is at least after the process was paused, or its VM suspended.
+	PauseTime = 400 * clock.Millisecond
+)
+
+// EveryLag calls f about each 250 ms until ctx ends, with the time by which the call is late: a little while the processor is used up,
+// and much when the process was paused. It refreshes the clock.
+func EveryLag(ctx context.Context, c clock.Clock, f func(late clock.Duration)) {
+	clock.Refresh(c)
+	last := c.Now()
+	Every(ctx, lagInterval, func() {
+		clock.Refresh(c)
+		now := c.Now()
+		late := max(now.Sub(last)-lagInterval, 0)
+		last = now
+		f(late)
+	})
+}
+
 // Every calls f once per interval until ctx ends. A call that takes longer than the interval delays
 // the next one.
 func Every(ctx context.Context, interval clock.Duration, f func()) {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -260,6 +260,7 @@
 
 func (s *Store) tick(ctx context.Context) {
 	for ctx.Err() == nil {
+		clock.Refresh(s.Clock)
 		s.events.Offer(quorum.Tick{})
 		runner.Pause(ctx, min(s.Settings.Heartbeat/2, tickInterval))
 	}
--- a/pkg/clock/clock.go
+++ b/pkg/clock/clock.go
@@ -79,17 +79,59 @@
 }
 
 // Real is the clock of a process. It starts at the time of day and advances with the monotonic clock, so
-// that a later step of the wall clock neither shortens nor extends a lease.
+// that a later step of the wall clock neither shortens nor extends a lease. The monotonic clock leaves out the time for which
+// the VM is suspended; Refresh adds it.
 type Real struct {
 	start time.Time
+	// suspended is the time for which the VM was suspended since the start.
+	suspended atomic.Int64
+	// atStart is the difference of the system's clocks at the start, difference returns the present one.
+	atStart    time.Duration
+	difference func() (time.Duration, bool)
+}
+
+// Refresher is a clock that misses some time until Refresh is called.
+type Refresher interface {
+	Refresh()
+}
+
+// Refresh calls the Refresh method of a clock that has one.
+func Refresh(c Clock) {
+	if r, ok := c.(Refresher); ok {
+		r.Refresh()
+	}
 }
 
 // Start returns a Real that starts at the current time of day.
-func Start() *Real { return &Real{start: time.Now()} }
+func Start() *Real { return start(suspendedTime) }
+
+func start(difference func() (time.Duration, bool)) *Real {
+	r := &Real{start: time.Now(), difference: difference}
+	// A pause between the readings of the two clocks makes their difference too small.
+	for range 3 {
+		d, _ := difference()
+		r.atStart = max(r.atStart, d)
+	}
+	return r
+}
 
 // Now returns the current instant.
 func (r *Real) Now() Instant {
-	return FromTime(r.start.Add(time.Since(r.start)))
+	return FromTime(r.start.Add(time.Since(r.start) + time.Duration(r.suspended.Load())))
+}
+
+// Refresh adds the time for which the VM was suspended since the last call. The clock does not go back.
+func (r *Real) Refresh() {
+	d, ok := r.difference()
+	if !ok {
+		return
+	}
+	for now := int64(d - r.atStart); ; {
+		last := r.suspended.Load()
+		if now <= last || r.suspended.CompareAndSwap(last, now) {
+			return
+		}
+	}
 }
 
 // Manual is a clock that is set explicitly, for tests and simulations. The zero value is at the Unix
