duty: a new holder waits for the contact of the old one, too

Found by review; not seen by operators. Cause: a holder sends up to MaxContactAge after its last contact, which was taken to end before another leader can be elected. A transfer, and voters that were restarted and do not remember the contact, elect one at once.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,8 +1,8 @@
 // Package duty decides when the leader of the core daemons may call the cloud. The cloud does not
 // check fencing numbers, so calls of different holders of the duties are kept apart in time. A new
 // holder waits until the calls of the previous holder must have arrived. A holder stops sending soon
-// after it loses contact with a quorum, also in the middle of a call. A daemon that acquires the duties again first waits for the
-// lease to end:
+// after it loses contact with a quorum, also in the middle of a call. A daemon that acquires the
+// duties again first waits for the lease to end:
 //
 //	tenure.Begin(now, fence)                        // a commit granted the duties
 //	if tenure.MaySend(now, contactAt, settings) {
@@ -49,8 +49,8 @@
 	MaxPause clock.Duration
 	// MaxTransit is the longest time that a call is in transit.
 	MaxTransit clock.Duration
-	// MaxContactAge is the age of the last contact with a quorum up to which a holder sends. It is
-	// below the election timeout, so that a holder stops before another leader can be elected.
+	// MaxContactAge is the age of the last contact with a quorum up to which a holder sends. Another leader can be elected
+	// right after that contact, by a transfer or by voters that were restarted, so a new holder waits for it.
 	MaxContactAge clock.Duration
 }
 
@@ -135,7 +135,7 @@
 
 // MaySend reports whether the holder may send a call now. ContactAt is its last contact with a quorum.
 func (t *Tenure) MaySend(now, contactAt clock.Instant, s Settings) bool {
-	if t.Fence == 0 || now.Sub(t.BeganAt) < s.MaxTransit+s.MaxPause || now.After(s.SendBy(contactAt)) {
+	if t.Fence == 0 || now.Sub(t.BeganAt) < s.MaxTransit+max(s.MaxPause, s.MaxContactAge) || now.After(s.SendBy(contactAt)) {
 		return false
 	}
 	return !t.othersSent || now.Sub(t.mayArriveUntil()) >= s.Lease+s.MaxPause
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -215,3 +215,28 @@
 		}
 	}
 }
+
+// TestNewHolderWaitsForTheContactOfTheOldOne guards against a lower fence after a transfer of leadership, or an election by voters that were
+// restarted, right after the last contact of the old holder.
+func TestNewHolderWaitsForTheContactOfTheOldOne(t *testing.T) {
+	for _, thaw := range []clock.Duration{0, 100, 300, 1000} {
+		s := Settings{Lease: 3 * clock.Second, MaxPause: thaw, MaxTransit: 1000, MaxContactAge: 300}
+		var old, next Tenure
+		old.Start(-60_000)
+		next.Start(-60_000)
+		old.Begin(-50_000, 1)
+		next.Begin(0, 2)
+		arrivesBy, first := clock.Instant(-1), clock.Instant(-1)
+		for now := clock.Instant(0); now < 5_000; now++ {
+			if old.MaySend(now, 0, s) {
+				arrivesBy = now.Add(s.MaxTransit)
+			}
+			if first < 0 && next.MaySend(now, now, s) {
+				first = now
+			}
+		}
+		if arrivesBy < 0 || first.Before(arrivesBy) {
+			t.Errorf("thaw %v: got the first call of the new holder at %v ms, want it after those of the old one, which arrive by %v ms", thaw, int64(first), int64(arrivesBy))
+		}
+	}
+}
