duty: the client of the cloud follows no redirects, skips interim responses and bounds heads

Cause: the new transport took a response with a status below 200 for the final one, so that a refused call counted as accepted, and read heads of any length, which net/http does not. A redirect was followed: if the gate then refused the second call, the error said that nothing had been sent, and the lease forgot the first. Change: interim responses are skipped, a head may have 64 KB, a redirect is the answer.

--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -40,10 +41,19 @@
 	return context.WithValue(ctx, gateKey{}, g)
 }
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
 // NewClient returns an HTTP client for calls that must not arrive late. The gate of a call's context and its deadline are
-// checked again before each system call that sends a part of it. Its connection is reset when the context ends, and
-// the kernel gives up at the deadline, also while the process is paused.
-func NewClient() *http.Client { return &http.Client{Transport: transport{}} }
+// checked again before each system call that sends a part of it, and the call needs as long to arrive as its connection took to
+// open. Its connection is reset when the context ends, and the kernel gives up at the deadline, also while the process is
+// paused. Redirects are not followed.
+func NewClient() *http.Client {
+	return &http.Client{
+		Transport:     transport{},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
 
 // transport makes each call over a connection of its own.
 type transport struct{}
@@ -65,7 +75,7 @@
 		_ = c.Close()
 		return nil, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c), r)
+	response, err := receive(c, r)
 	if err != nil {
 		_ = c.Close()
 		return nil, errors.Wrap(err, "read the response")
@@ -74,6 +84,22 @@
 	return response, nil
 }
 
+// receive reads the head of the final response.
+func receive(c *conn, r *http.Request) (*http.Response, error) {
+	limit := &io.LimitedReader{R: c, N: maxHeadBytes}
+	in := bufio.NewReader(limit)
+	for {
+		response, err := http.ReadResponse(in, r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			limit.N = math.MaxInt64
+			return response, nil
+		}
+	}
+}
+
 // body is the body of a response, with whose end the connection is closed.
 type body struct {
 	io.Reader
@@ -86,6 +112,8 @@
 // conn is the connection of a call.
 type conn struct {
 	*net.TCPConn
+	// openTime is the time that the connection took to open.
+	openTime time.Duration
 	// release ends the wait for the end of the call's context.
 	release func() bool
 }
@@ -98,23 +126,25 @@
 
 // connect opens a connection that ends with ctx.
 func connect(ctx context.Context, address string) (*conn, error) {
+	began := time.Now()
 	opened, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the cloud")
 	}
 	tcp, ok := opened.(*net.TCPConn)
 	if !ok {
+		_ = opened.Close()
 		return nil, errors.Newf("got a connection of type %T, want a TCP connection", opened)
 	}
 	err = tcp.SetLinger(0)
-	if deadline, ok := ctx.Deadline(); ok && err == nil {
-		err = errors.CombineErrors(tcp.SetDeadline(deadline), dial.SetAckTimeout(tcp, clock.FromStd(time.Until(deadline))))
+	if deadline, ok := ctx.Deadline(); ok {
+		err = errors.CombineErrors(err, tcp.SetDeadline(deadline))
 	}
 	if err != nil {
 		_ = tcp.Close()
 		return nil, errors.Wrap(err, "set the options of the connection")
 	}
-	c := &conn{TCPConn: tcp}
+	c := &conn{TCPConn: tcp, openTime: time.Since(began)}
 	c.release = context.AfterFunc(ctx, func() { _ = tcp.Close() })
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: tcp})
@@ -124,11 +154,14 @@
 
 // send writes a call for as long as it may be sent.
 func (c *conn) send(ctx context.Context, data []byte) error {
-	isLate, err := newLimit(ctx)
+	isLate, err := newLimit(ctx, c.openTime)
 	if err != nil {
 		return errors.Mark(err, ErrUnsent)
 	}
 	raw, err := c.SyscallConn()
+	if err == nil {
+		err = c.limitRetransmission(ctx)
+	}
 	if err != nil {
 		return errors.Mark(err, ErrUnsent)
 	}
@@ -164,8 +197,18 @@
 	return err
 }
 
-// newLimit opens the gate of a call and returns a function that reports whether it is too late to send more of the call.
-func newLimit(ctx context.Context) (isLate func() bool, err error) {
+// limitRetransmission makes the kernel give up at the deadline of the call.
+func (c *conn) limitRetransmission(ctx context.Context) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	return dial.SetAckTimeout(c, clock.FromStd(time.Until(deadline)))
+}
+
+// newLimit opens the gate of a call and returns a function that reports whether it is too late to send more of the call, which takes
+// transit to arrive.
+func newLimit(ctx context.Context, transit time.Duration) (isLate func() bool, err error) {
 	deadline, limited := ctx.Deadline()
 	g, gated := ctx.Value(gateKey{}).(Gate)
 	until := clock.Instant(0)
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -1,11 +1,13 @@
 package duty
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +90,98 @@
 		t.Errorf("got error %v and %d bytes sent, want none and ErrUnsent", err, received)
 	}
 }
+
+// respond starts a server that reads each request, writes a response and closes the connection.
+func respond(t *testing.T, write func(conn net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					write(conn)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// post sends a call without a gate.
+func post(t *testing.T, address string) (*http.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", bytes.NewReader([]byte("{}")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewClient().Do(r)
+}
+
+// TestRedirectIsNotFollowed guards against calls that have arrived and count as unsent, as the redirected one was late.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	calls := atomic.Int64{}
+	address := respond(t, func(conn net.Conn) {
+		calls.Add(1)
+		_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n")
+	})
+	response, err := post(t, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if got := calls.Load(); got != 1 || response.StatusCode != http.StatusTemporaryRedirect {
+		t.Errorf("got %d calls and status %d, want 1 and 307", got, response.StatusCode)
+	}
+}
+
+// TestInterimResponseIsNotTheAnswer guards against calls that were refused and count as accepted.
+func TestInterimResponseIsNotTheAnswer(t *testing.T) {
+	address := respond(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+	})
+	response, err := post(t, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if got, want := response.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
+
+// TestEndlessHeadEndsTheCall guards against responses that take up the memory of the process.
+func TestEndlessHeadEndsTheCall(t *testing.T) {
+	const allowed = 16 << 20
+	sent := atomic.Int64{}
+	address := respond(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		line := append(bytes.Repeat([]byte("x"), 64<<10), ": y\r\n"...)
+		for sent.Load() < 4*allowed {
+			n, err := conn.Write(line)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	})
+	response, err := post(t, address)
+	if err == nil {
+		response.Body.Close()
+		t.Error("got a response, want an error")
+	}
+	if got := sent.Load(); got > allowed {
+		t.Errorf("got %d bytes read of the head, want at most %d", got, allowed)
+	}
+}
