duty: a call that cannot arrive in time is not sent

Cause: a call could be written until its deadline, and arrives a transit later than that. After a suspension the clock was refreshed only when the gate was asked. Names of calls and contexts in callCloud.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -42,54 +42,54 @@
 }
 
 // fields returns the times of the call for its line in the log. Times are relative to allowedAt; -1 means never.
-func (l *cloudCall) fields() []any {
+func (call *cloudCall) fields() []any {
 	written := clock.Duration(-1)
-	if l.writtenAt > 0 {
-		written = l.writtenAt.Sub(l.allowedAt)
+	if call.writtenAt > 0 {
+		written = call.writtenAt.Sub(call.allowedAt)
 	}
 	return []any{
-		"fence", l.holder.Fence, "answer", l.answer.String(), "contactAgeMs", int64(l.contactAge), "writtenMs", int64(written),
-		"tookMs", int64(l.answeredAt.Sub(l.allowedAt)), "error", errorText(l.err),
+		"fence", call.holder.Fence, "answer", call.answer.String(), "contactAgeMs", int64(call.contactAge), "writtenMs", int64(written),
+		"tookMs", int64(call.answeredAt.Sub(call.allowedAt)), "error", errorText(call.err),
 	}
 }
 
 // callCloud makes a call to the cloud when the rate of calls allows it. It returns nil if this daemon may send no call then.
 func (c *Core) callCloud(ctx context.Context, do func(context.Context, duty.Holder) (duty.Answer, error)) *cloudCall {
 	c.waitForRate(ctx)
-	call, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
+	ctx, cancel := context.WithTimeout(ctx, cloudTimeout.Std())
 	defer cancel()
-	l, ok := c.beginCall()
+	call, ok := c.beginCall()
 	if !ok {
 		return nil
 	}
 	c.calls.allowed.Add(1)
-	call = duty.WithGate(call, duty.Gate{Clock: c.clock, Open: func() (clock.Instant, bool) { return c.maySendUntil(l.holder.Fence) }})
+	ctx = duty.WithGate(ctx, duty.Gate{Clock: c.clock, Open: func() (clock.Instant, bool) { return c.maySendUntil(call.holder.Fence) }})
 	written := atomic.Int64{}
-	call = httptrace.WithClientTrace(call, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil {
 			written.Store(int64(c.clock.Now()))
 			c.calls.written.Add(1)
 		}
 	}})
-	l.answer, l.err = do(call, l.holder)
-	l.writtenAt, l.answeredAt = clock.Instant(written.Load()), c.clock.Now()
-	c.endCall(l)
-	return l
+	call.answer, call.err = do(ctx, call.holder)
+	call.writtenAt, call.answeredAt = clock.Instant(written.Load()), c.clock.Now()
+	c.endCall(call)
+	return call
 }
 
 // endCall records how a call has ended.
-func (c *Core) endCall(l *cloudCall) {
+func (c *Core) endCall(call *cloudCall) {
 	outcome := duty.Answered
 	switch {
-	case errors.Is(l.err, duty.ErrUnsent):
+	case errors.Is(call.err, duty.ErrUnsent):
 		outcome = duty.Unsent
-	case l.err != nil:
+	case call.err != nil:
 		outcome = duty.Unanswered
 		c.calls.unanswered.Add(1)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.duties.tenure.Ended(l.answeredAt, l.number, outcome)
+	c.duties.tenure.Ended(call.answeredAt, call.number, outcome)
 }
 
 // waitForRate pauses before a call to the cloud to stay within the configured rate.
@@ -110,6 +110,7 @@
 }
 
 func (c *Core) maySendLocked() bool {
+	clock.Refresh(c.clock)
 	status := c.Store.Status()
 	if status.Role != quorum.Leader || status.Term != c.duties.tenureTerm {
 		return false
@@ -124,14 +125,13 @@
 
 // maySendUntil returns the time until which a call with a fencing number may be sent, and reports whether it may be sent now.
 func (c *Core) maySendUntil(fence uint64) (clock.Instant, bool) {
-	clock.Refresh(c.clock)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	s, contactAt := c.dutySettings(), c.Store.Status().ContactAt
 	if c.duties.tenure.Fence != fence || !c.maySendLocked() {
 		return 0, false
 	}
-	s := c.dutySettings()
-	return s.SendBy(c.Store.Status().ContactAt), true
+	return s.SendBy(contactAt), true
 }
 
 // beginCall records that a call to the cloud is sent now. It reports false if no call may be sent.
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -319,6 +319,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	clock.Refresh(c.clock)
 	c.duties.tenure.Begin(c.clock.Now(), result.Fence)
 	c.duties.tenureTerm = term
 	c.duties.reportedWindow = 0
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -222,6 +222,6 @@
 		if gated {
 			clock.Refresh(g.Clock)
 		}
-		return limited && !time.Now().Before(deadline) || gated && g.Clock.Now().After(until)
+		return limited && !time.Now().Add(transit).Before(deadline) || gated && g.Clock.Now().After(until)
 	}, nil
 }
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -185,3 +185,18 @@
 		t.Errorf("got %d bytes read of the head, want at most %d", got, allowed)
 	}
 }
+
+// TestCallThatCannotArriveInTimeIsLate guards against calls that are sent right before their deadline over a long way.
+func TestCallThatCannotArriveInTimeIsLate(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for transit, want := range map[time.Duration]bool{0: false, 30 * time.Second: false, 2 * time.Minute: true} {
+		isLate, err := newLimit(ctx, transit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := isLate(); got != want {
+			t.Errorf("a minute before the deadline, with %v of transit: got late %v, want %v", transit, got, want)
+		}
+	}
+}
