core: a test of the gate of calls to the cloud on the leader's own path

Cause: found by review: with the gate taken out of callCloud all tests passed, as those with processes have a pause longer than the deadline. Change: TestCallIsNotSentWithoutContact: the leader is cut off while the connection of a call opens.

--- a/internal/core/duties_test.go
+++ b/internal/core/duties_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"swiftbeam/internal/duty"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/setup"
 	"swiftbeam/internal/state"
@@ -12,6 +19,16 @@
 	"swiftbeam/pkg/clock"
 )
 
+// awaitMaySend waits until a core daemon may call the cloud.
+func awaitMaySend(t *testing.T, c *Core) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !c.maySend(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: may send no call after 10 s", c.Settings.Name)
+		}
+	}
+}
+
 // transferTo makes core daemon i the leader by transfers, each of which ends a term.
 func (g *cluster) transferTo(i int) {
 	g.t.Helper()
@@ -34,13 +51,7 @@
 	i := g.leader()
 	other, third := (i+1)%3, (i+2)%3
 	c := g.cores[i]
-	deadline := time.Now().Add(10 * time.Second)
-	for !c.maySend() {
-		if time.Now().After(deadline) {
-			t.Fatalf("core %d: may send no call after 10 s", i)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+	awaitMaySend(t, c)
 	// With two daemons left, a transfer goes to the other one.
 	g.crash(third, false)
 	// While the lock is held, the daemon does not find the duties lost.
@@ -67,6 +78,39 @@
 	}
 }
 
+// TestCallIsNotSentWithoutContact guards against calls of a leader that loses contact with the quorum after they were allowed.
+func TestCallIsNotSentWithoutContact(t *testing.T) {
+	g := newCluster(t, 3)
+	g.putRules(1)
+	i := g.leader()
+	c := g.cores[i]
+	awaitMaySend(t, c)
+	received := atomic.Int64{}
+	cloud := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received.Add(1) }))
+	defer cloud.Close()
+	call := c.callCloud(t.Context(), func(ctx context.Context, _ duty.Holder) (duty.Answer, error) {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+			g.links.setCut(g.settings[i].Peers, true)
+			time.Sleep((ElectionTimeout/2 + 100).Std())
+		}})
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, cloud.URL, http.NoBody)
+		if err != nil {
+			return duty.Failed, err
+		}
+		response, err := duty.NewClient().Do(r)
+		if err != nil {
+			return duty.Failed, err
+		}
+		return duty.Accepted, response.Body.Close()
+	})
+	if call == nil {
+		t.Fatal("got no call, want one that is allowed")
+	}
+	if got := received.Load(); got > 0 || !errors.Is(call.err, duty.ErrUnsent) {
+		t.Errorf("got %d calls at the cloud and error %v, want none and ErrUnsent", got, call.err)
+	}
+}
+
 // TestForgottenUsageIsNotCountedAgain guards against a second report of windows whose record the replicated state has dropped.
 func TestForgottenUsageIsNotCountedAgain(t *testing.T) {
 	const length = 100 * clock.Millisecond
