state: an order that is held up on its way undoes no later one

Not seen by operators. Cause: a core daemon passes an order on to the leader and gives it up after 0.9 s. Its bytes can be held up, by a cut link or a paused leader, and are committed when they arrive. By then the operator has sent the order again through another daemon, and it has ended: the late one started a version again that had been rolled back, or replaced a newer rollout; one for a zone undid a later one. Change: orders for rollouts and zones carry the time of the order that they follow. If another came between, the command is Stale, and the daemon decides anew while its caller still waits. Commands of earlier builds have no such time and are applied as before.

--- a/internal/core/evacuation.go
+++ b/internal/core/evacuation.go
@@ -23,7 +23,9 @@
 		return fault.New(fault.Invalid, "no server, daemon or price is in the availability zone %s", valid.Quote(zone)).
 			Remedy("check the name, for instance against the zones of the rules")
 	}
-	return c.changeEvacuation(ctx, zone, "zone evacuated", state.EvacuateZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
+	return c.changeEvacuation(ctx, zone, "zone evacuated", func(seen *clock.Instant) state.Body {
+		return state.EvacuateZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime(), Seen: seen}
+	})
 }
 
 // ReturnZone commits an operator's request to end the evacuation of an availability zone.
@@ -31,7 +33,9 @@
 	if err := checkZone(zone); err != nil {
 		return err
 	}
-	return c.changeEvacuation(ctx, zone, "zone returned", state.ReturnZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime()})
+	return c.changeEvacuation(ctx, zone, "zone returned", func(seen *clock.Instant) state.Body {
+		return state.ReturnZone{Zone: zone, By: operatorName(by), At: c.Follower.ClusterTime(), Seen: seen}
+	})
 }
 
 func checkZone(zone string) error {
@@ -50,10 +54,14 @@
 }
 
 // changeEvacuation commits an order about a zone, with the message for the log once it is committed.
-func (c *Core) changeEvacuation(ctx context.Context, zone, message string, body state.Body) error {
+func (c *Core) changeEvacuation(ctx context.Context, zone, message string, order func(seen *clock.Instant) state.Body) error {
 	ctx, cancel := context.WithTimeout(ctx, bootstrapTimeout.Std()+commitTimeout.Std())
 	defer cancel()
-	result, err := c.propose(ctx, body)
+	result, err := repeatStale(func() (state.Result, error) {
+		var seen clock.Instant
+		c.Store.View(func(s *state.State) { seen = s.Evacuations[zone].Since })
+		return c.propose(ctx, order(&seen))
+	})
 	if err != nil {
 		c.log.Info("evacuation not committed", "zone", zone, "what", message, "error", err.Error())
 		return err
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -38,6 +38,20 @@
 	return result, err
 }
 
+// maxOrderTries is the number of times that an operator's order is decided anew because another one came between.
+const maxOrderTries = 4
+
+// repeatStale calls propose, which decides on an operator's order by the state that this daemon has seen and commits it, until no
+// other order has come between.
+func repeatStale(propose func() (state.Result, error)) (state.Result, error) {
+	for range maxOrderTries {
+		if result, err := propose(); err != nil || result.Code != state.Stale {
+			return result, err
+		}
+	}
+	return state.Result{}, fault.New(fault.Unavailable, "other orders for the same came between").Remedy("send the order again").WithRetryAfter(1)
+}
+
 // awaitVoters waits until the group has all its voters, so that an acknowledged change survives as
 // many lost daemons as the settings require. It waits only within bootstrapTimeout of the daemon's
 // start, so a group that stays smaller still acknowledges.
--- a/internal/core/rollout.go
+++ b/internal/core/rollout.go
@@ -28,19 +28,26 @@
 		return fault.New(fault.Invalid, "the rollout of %s to %s has no usable names", valid.Quote(service), valid.Quote(target)).
 			Remedy("send at most 256 printable characters each")
 	}
+	_, err := repeatStale(func() (state.Result, error) { return c.orderRollout(ctx, service, target, within) })
+	c.log.Info("rollout ordered", "service", service, "target", target, "withinMs", int64(within), "error", errorText(err))
+	return err
+}
+
+// orderRollout commits an order for a rollout, unless it is repeated after its end.
+func (c *Core) orderRollout(ctx context.Context, service, target string, within clock.Duration) (state.Result, error) {
 	// The barrier makes a rollout that was started at another daemon visible here.
-	if _, err := c.propose(ctx, state.Barrier{}); err != nil {
-		c.log.Info("rollout not ordered", "service", service, "target", target, "error", err.Error())
-		return err
+	if result, err := c.propose(ctx, state.Barrier{}); err != nil {
+		return result, err
 	}
-	now := c.Follower.ClusterTime()
-	if r := c.rollout(service); r != nil && r.Stage.Ended() && r.To == target && r.FinishBy.Sub(r.Started) == within && now.Sub(r.Started) < repeatPeriod {
-		c.log.Info("rollout order repeated after its end", "service", service, "target", target, "stage", r.Stage.String())
-		return nil
+	now, seen := c.Follower.ClusterTime(), clock.Instant(0)
+	if r := c.rollout(service); r != nil {
+		seen = r.Started
+		if r.Stage.Ended() && r.To == target && r.FinishBy.Sub(r.Started) == within && now.Sub(r.Started) < repeatPeriod {
+			c.log.Info("rollout order repeated after its end", "service", service, "target", target, "stage", r.Stage.String())
+			return state.Result{Code: state.Existing}, nil
+		}
 	}
-	_, err := c.propose(ctx, state.StartRollout{Service: service, Target: target, At: now, FinishBy: now.Add(within)})
-	c.log.Info("rollout ordered", "service", service, "target", target, "withinMs", int64(within), "error", errorText(err))
-	return err
+	return c.propose(ctx, state.StartRollout{Service: service, Target: target, At: now, FinishBy: now.Add(within), Seen: &seen})
 }
 
 // rollout returns a copy of the newest rollout of a service, or nil.
--- a/internal/state/evacuation.go
+++ b/internal/state/evacuation.go
@@ -20,6 +20,9 @@
 	Zone string
 	By   string
 	At   clock.Instant
+	// Seen is Since of the record that the order replaces, 0 for none. A command that arrives after another one has changed
+	// that is Stale. Commands of earlier builds have nil and replace any.
+	Seen *clock.Instant
 }
 
 // ReturnZone withdraws the evacuation of a zone.
@@ -27,6 +30,8 @@
 	Zone string
 	By   string
 	At   clock.Instant
+	// Seen is as in EvacuateZone.
+	Seen *clock.Instant
 }
 
 func (EvacuateZone) command() {}
@@ -35,13 +40,16 @@
 // maxReturnedZones is the number of records of zones that are not evacuated which are kept.
 const maxReturnedZones = 256
 
-// setEvacuation changes the record of a zone. An order that was applied before keeps its time and
-// revision.
-func (s *State) setEvacuation(e Evacuation) Result {
+// setEvacuation changes the record of a zone, if its time is the one that the order has seen. An order that was applied
+// before keeps its time and revision.
+func (s *State) setEvacuation(e Evacuation, seen *clock.Instant) Result {
 	old, known := s.Evacuations[e.Zone]
 	if known && old.Evacuated == e.Evacuated || !known && !e.Evacuated {
 		return Result{Code: Existing, Version: old.Revision}
 	}
+	if seen != nil && *seen != old.Since {
+		return Result{Code: Stale, Version: old.Revision}
+	}
 	e.Revision = s.Applied
 	s.Evacuations[e.Zone] = e
 	s.dropReturned()
--- a/internal/state/rules.go
+++ b/internal/state/rules.go
@@ -57,6 +57,9 @@
 	Target   string
 	At       clock.Instant
 	FinishBy clock.Instant
+	// Seen is the start of the rollout that the order replaces, 0 for none. A command that arrives after another one has
+	// changed that is Stale. Commands of earlier builds have nil and replace any.
+	Seen *clock.Instant
 }
 
 // StepRollout changes the stage or share of a rollout. It takes effect only at the given revision.
@@ -94,9 +97,16 @@
 
 func (s *State) startRollout(b StartRollout) Result {
 	old := s.Rollouts[b.Service]
-	if old != nil && old.To == b.Target && !old.Stage.Ended() {
+	if old != nil && old.To == b.Target && (!old.Stage.Ended() || old.Started == b.At) {
 		return Result{Code: Existing, Version: old.Revision}
 	}
+	started, revision := clock.Instant(0), uint64(0)
+	if old != nil {
+		started, revision = old.Started, old.Revision
+	}
+	if b.Seen != nil && *b.Seen != started {
+		return Result{Code: Stale, Version: revision}
+	}
 	r := &Rollout{Move: Move{
 		Service: b.Service, To: b.Target, Started: b.At, FinishBy: b.FinishBy, Revision: 1, StageAt: b.At, ShareAt: b.At,
 	}}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -212,9 +212,9 @@
 	case RecordSpending:
 		s.recordSpending(b.Records)
 	case EvacuateZone:
-		return s.setEvacuation(Evacuation{Zone: b.Zone, Evacuated: true, Since: b.At, By: b.By})
+		return s.setEvacuation(Evacuation{Zone: b.Zone, Evacuated: true, Since: b.At, By: b.By}, b.Seen)
 	case ReturnZone:
-		return s.setEvacuation(Evacuation{Zone: b.Zone, Since: b.At, By: b.By})
+		return s.setEvacuation(Evacuation{Zone: b.Zone, Since: b.At, By: b.By}, b.Seen)
 	case RecordDepartures:
 		return s.recordDepartures(b.Departures)
 	}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -48,7 +48,7 @@
 		m.Body = &peerpb.Command_PutUsage{PutUsage: &peerpb.PutUsage{Number: b.Number, Counts: b.Counts}}
 	case state.StartRollout:
 		m.Body = &peerpb.Command_StartRollout{StartRollout: &peerpb.StartRollout{
-			Service: b.Service, Target: b.Target, At: int64(b.At), FinishBy: int64(b.FinishBy),
+			Service: b.Service, Target: b.Target, At: int64(b.At), FinishBy: int64(b.FinishBy), Seen: (*int64)(b.Seen),
 		}}
 	case state.StepRollout:
 		m.Body = &peerpb.Command_StepRollout{StepRollout: &peerpb.StepRollout{Step: moveStepToPB(b.MoveStep), At: int64(b.At), Trial: uint32(b.Trial)}}
@@ -57,9 +57,9 @@
 	case state.RecordSpending:
 		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Records: spendingToPB(b.Records)}}
 	case state.EvacuateZone:
-		m.Body = &peerpb.Command_EvacuateZone{EvacuateZone: &peerpb.EvacuateZone{Zone: b.Zone, By: b.By, At: int64(b.At)}}
+		m.Body = &peerpb.Command_EvacuateZone{EvacuateZone: &peerpb.EvacuateZone{Zone: b.Zone, By: b.By, At: int64(b.At), Seen: (*int64)(b.Seen)}}
 	case state.ReturnZone:
-		m.Body = &peerpb.Command_ReturnZone{ReturnZone: &peerpb.ReturnZone{Zone: b.Zone, By: b.By, At: int64(b.At)}}
+		m.Body = &peerpb.Command_ReturnZone{ReturnZone: &peerpb.ReturnZone{Zone: b.Zone, By: b.By, At: int64(b.At), Seen: (*int64)(b.Seen)}}
 	case state.RecordDepartures:
 		m.Body = &peerpb.Command_RecordDepartures{RecordDepartures: &peerpb.RecordDepartures{Departures: departuresToPB(b.Departures)}}
 	case state.Barrier:
@@ -112,7 +112,7 @@
 	case *peerpb.Command_StartRollout:
 		p := b.StartRollout
 		c.Body = state.StartRollout{
-			Service: p.GetService(), Target: p.GetTarget(), At: clock.Instant(p.GetAt()), FinishBy: clock.Instant(p.GetFinishBy()),
+			Service: p.GetService(), Target: p.GetTarget(), At: clock.Instant(p.GetAt()), FinishBy: clock.Instant(p.GetFinishBy()), Seen: (*clock.Instant)(p.Seen),
 		}
 	case *peerpb.Command_StepRollout:
 		p := b.StepRollout
@@ -123,10 +123,10 @@
 		c.Body = state.RecordSpending{Records: spendingFromPB(b.RecordSpending.GetRecords())}
 	case *peerpb.Command_EvacuateZone:
 		p := b.EvacuateZone
-		c.Body = state.EvacuateZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt())}
+		c.Body = state.EvacuateZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt()), Seen: (*clock.Instant)(p.Seen)}
 	case *peerpb.Command_ReturnZone:
 		p := b.ReturnZone
-		c.Body = state.ReturnZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt())}
+		c.Body = state.ReturnZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt()), Seen: (*clock.Instant)(p.Seen)}
 	case *peerpb.Command_RecordDepartures:
 		c.Body = state.RecordDepartures{Departures: departuresFromPB(b.RecordDepartures.GetDepartures())}
 	case *peerpb.Command_Barrier:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -76,7 +76,7 @@
 	case 6:
 		return state.PutUsage{Number: uint64(rapid.IntRange(1, 99).Draw(t, "window")), Counts: map[string]uint64{"a": uint64(rapid.IntRange(0, 9).Draw(t, "count"))}}
 	case 7:
-		return state.StartRollout{Service: "s" + drawText("section"), Target: "v" + drawText("version"), At: 100, FinishBy: 12_100}
+		return state.StartRollout{Service: "s" + drawText("section"), Target: "v" + drawText("version"), At: 100, FinishBy: 12_100, Seen: drawSeen(t)}
 	case 8:
 		return state.StepRollout{At: 200, Trial: rapid.IntRange(0, 9).Draw(t, "trial"), MoveStep: state.MoveStep{
 			Service: "s" + drawText("section"), Version: "v" + drawText("version"), Revision: uint64(rapid.IntRange(1, 3).Draw(t, "revision")),
@@ -89,9 +89,9 @@
 			Account: "a" + drawText("account"), At: clock.Instant(rapid.IntRange(0, 90_000).Draw(t, "recordAt")), Spent: []float64{1.5, 0, 7},
 		}}}
 	case 11:
-		return state.EvacuateZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 300}
+		return state.EvacuateZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 300, Seen: drawSeen(t)}
 	case 12:
-		return state.ReturnZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 400}
+		return state.ReturnZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 400, Seen: drawSeen(t)}
 	case 13:
 		return state.RecordDepartures{Departures: []state.Departure{
 			{At: clock.Instant(rapid.IntRange(0, 300_000).Draw(t, "departedAt")), Server: enrol.Record{
@@ -104,6 +104,15 @@
 	return state.EndOrder{Operation: drawText("order"), Fence: uint64(rapid.IntRange(0, 3).Draw(t, "fence")), Done: true}
 }
 
+// drawSeen draws the time of the order that another one follows; nil as in commands of earlier builds.
+func drawSeen(t *rapid.T) *clock.Instant {
+	if rapid.Bool().Draw(t, "earlierBuild") {
+		return nil
+	}
+	seen := clock.Instant(rapid.IntRange(0, 400).Draw(t, "seen"))
+	return &seen
+}
+
 // drawEvidence returns random evidence on three traits.
 func drawEvidence(t *rapid.T) crash.Evidence {
 	trait := crash.PartTrait("s", fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "part")))
