quorum: votes that were queued during a pause prove no contact

Cause: a new leader took its voters for heard at the time of its election. A candidate that was paused between its request and the queued votes led an old term afterwards and counted as in contact for up to 0.6 s, in which it grants quota. Change: the contact of a new leader is the time at which it requested the votes.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -25,6 +25,8 @@
 	heartbeatAt   clock.Instant
 	quorumCheckAt clock.Instant
 	contactAt     clock.Instant
+	// campaignedAt is when this member last requested votes or pre-votes.
+	campaignedAt clock.Instant
 	// now is the instant passed to the last Step.
 	now          clock.Instant
 	noopIndex    uint64
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -6,6 +6,7 @@
 func (c *Raft) campaign(now clock.Instant, role Role) {
 	c.Role = role
 	c.Leader = ""
+	c.campaignedAt = now
 	c.votes = map[ID]bool{c.Settings.Self: true}
 	// Retry a lost election sooner than the timeout for an unresponsive leader.
 	c.electionAt = now.Add(c.Settings.ElectionTimeout/3 + c.randomDuration(2*c.Settings.ElectionTimeout/3))
@@ -100,6 +101,10 @@
 	c.heartbeatAt = now
 	c.contactAt = now
 	c.trackPeers()
+	for _, p := range c.peers {
+		// The replies may have been queued while the process was paused.
+		p.ackedSentAt = c.campaignedAt
+	}
 	c.noopIndex = c.log.last() + 1
 	c.heartbeatDue = true
 	c.appendAsLeader(0, Entry{Kind: Noop})
