--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -121,6 +121,7 @@
 	departures *ring.Ring[departure]
 	// departuresRefused counts the departures that could not be recorded.
 	departuresRefused atomic.Int64
+	calls             callCounts
 
 	mu sync.Mutex
 	// notified is the state that followers were last notified of.
@@ -186,6 +187,7 @@
 // registerMetrics registers the metrics of the daemon.
 func (c *Core) registerMetrics(r metrics.Registry) {
 	c.commitTimes = meter.NewHistogram(r, "core.commitMs")
+	c.calls.register(r)
 	meter.RegisterGauge(r, "core.departuresRefused", c.departuresRefused.Load)
 	meter.RegisterGauge(r, "core.applied", func() int64 { return int64(c.Store.Status().Applied) })
 	meter.RegisterGauge(r, "core.term", func() int64 { return int64(c.Store.Status().Term) })
@@ -251,6 +253,7 @@
 	c.tasks.Go(func() { c.crashes.Run(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, spendingInterval, func() { c.recordSpending(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
+	c.tasks.Go(func() { c.watchProcessor(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, stepInterval, func() { c.stepRollouts(ctx) }) })
 	return nil
@@ -302,6 +305,15 @@
 	c.tasks.Wait()
 }
 
+// watchProcessor logs pauses of the process until ctx ends.
+func (c *Core) watchProcessor(ctx context.Context) {
+	runner.EveryLag(ctx, c.clock, func(late clock.Duration) {
+		if late > runner.PauseTime {
+			c.log.Info("process was paused", "forMs", int64(late))
+		}
+	})
+}
+
 // watchState calls refresh after each change of the replicated state.
 func (c *Core) watchState(ctx context.Context) {
 	for ctx.Err() == nil {
