--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -236,3 +236,26 @@
 		}
 	}
 }
+
+// TestQuotaHoldsInLongCuts guards against leases that are granted to others while daemons that are cut off for longer than a
+// window spend them.
+func TestQuotaHoldsInLongCuts(t *testing.T) {
+	for seed := range uint64(60) {
+		s := newSite(seed, 2+int(seed%9))
+		for n := range 700 {
+			for _, d := range s.daemons {
+				if n == 200 && d.part > 0.1 {
+					d.cutUntil = s.now.Add(15 * clock.Second)
+				}
+			}
+			rate := 3.0
+			if n >= 205 {
+				rate = 80
+			}
+			s.step(n, rate)
+		}
+		if got := s.maxBySteps(); got > allowed {
+			t.Errorf("seed %d: got %.0f tokens in 8 s, want at most %.0f", seed, got, float64(allowed))
+		}
+	}
+}
