intake: connections keep their places until their requests could be read

Cause: a connection without a whole request took the place of the one that had waited longest at once. A crowd of 400 connections at the readiness checks passed through the 64 places of a process with 256 descriptors within milliseconds, so that a caller's connection was closed before its request was read.

Change: a connection keeps its place for 100 ms, and for 1 s while bytes have arrived on it that were not read. If all keep theirs, the listeners accept no further connection until a place is free, so that descriptors and memory stay bounded as before. Of the idle connections, one without unread bytes is closed. A request whose connection was closed for another one is not handled: it could be passed on to a server and not be answered. A further request on a kept connection needs a place only for its body.

The log names a closed connection, its listener and how long it waited, once a second at most; intake.heldUp counts connections that waited for a place.

TestUnreadBytesKeepPlacesForATime holds the bound of 1 s and passes before as well.

--- a/internal/conns/next.go
+++ b/internal/conns/next.go
@@ -52,18 +52,23 @@
 	if c.begun.Load() || c.arrived.Load() > c.handled.Load() {
 		return true
 	}
+	return HasUnread(c)
+}
+
+// HasUnread reports whether bytes have arrived on a connection that were not read.
+func HasUnread(c syscall.Conn) bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
 	}
-	waiting := false
+	unread := false
 	// Control, unlike Read, does not wait for a read in progress.
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, peekErr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = peekErr == nil && n > 0
+		unread = peekErr == nil && n > 0
 	})
-	return err == nil && waiting
+	return err == nil && unread
 }
 
 // HasNext reports whether a whole further request was read from the connection of r. It is not certain: behind a request
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -35,6 +36,9 @@
 	}
 	c := clientOf(r)
 	if c != nil {
+		if !c.limits.admitBody(c) {
+			return nil, net.ErrClosed
+		}
 		_ = c.conn.SetReadDeadline(deadline)
 	}
 	body, err := read(r.Body, c, length, maxBytes)
@@ -50,7 +54,10 @@
 		}
 		return nil, err
 	}
-	if c.limits.received(c); c.wasEvicted() {
+	if !c.limits.received(c) {
+		return nil, net.ErrClosed
+	}
+	if c.wasEvicted() {
 		c.limits.Refused.Add(1)
 		return nil, ErrFull
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -5,10 +5,12 @@
 //	...
 //	body, err := intake.Read(r, maxBytes, deadline) // in a handler
 //
-// All servers of a process share one Limits. A connection waits from its start, or from the first byte of a further
-// request, until a whole request was read from it. Of more than MaxWaiting such connections, the one that has waited
-// longest is closed, and of more than MaxIdle ones between two requests the one that is idle for longest. A body of more
-// than shortBytes takes its memory from BodyBytes as it arrives, until the handler returns. When that is used up, the
+// All servers of a process share one Limits. A connection waits from its start, or from the head of a further request
+// with a body, until a whole request was read from it. While MaxWaiting connections wait, a further one takes the place
+// of the one that has waited longest, which is closed. A connection keeps its place for MinWait, and for MaxWait while
+// bytes of its request have arrived that were not read; if all keep theirs, further connections stay in the queues of the
+// listeners. Of more than MaxIdle connections between two requests, the one that is idle for longest is closed. A body of
+// more than shortBytes takes its memory from BodyBytes as it arrives, until the handler returns. When that is used up, the
 // body that has made no progress for longest gives up its memory; if all make progress, the new one fails with ErrFull.
 package intake
 
@@ -21,6 +23,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/meter"
@@ -43,6 +46,11 @@
 	// HeadBytes bounds the heads of requests, ProbeHeadBytes those of checks and of requests for metrics.
 	HeadBytes      = 64 << 10
 	ProbeHeadBytes = 16 << 10
+	// minWait is longer than a client needs to send a request on the connection that it has just opened, and short enough
+	// that a crowd of silent clients does not hold up others until they give up. maxWait bounds how long clients that
+	// never stop sending can hold places.
+	minWait = 100 * time.Millisecond
+	maxWait = time.Second
 	// readBufferBytes is the buffer of the kernel for bytes that have arrived; the kernel doubles it for its own use.
 	readBufferBytes = 64 << 10
 )
@@ -54,13 +62,23 @@
 	// MaxWaiting bounds the connections with an unfinished request or none yet, MaxIdle those between two requests.
 	MaxWaiting int
 	MaxIdle    int
+	// MinWait is the time for which a connection keeps its place in any case, MaxWait that for which it does while bytes
+	// have arrived on it that were not read.
+	MinWait time.Duration
+	MaxWait time.Duration
+	Log     logr.Logger
 
-	// Refused counts the bodies that found no memory, Closed the connections closed for others.
+	// Refused counts the bodies that found no memory, Closed the connections closed for others, HeldUp those that could
+	// not take a place at once.
 	Refused atomic.Int64
 	Closed  atomic.Int64
+	HeldUp  atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]*client
+	// placeFree is signalled when a connection stops waiting.
+	placeFree *sync.Cond
+	loggedAt  time.Time
 	// used is the memory of the bodies in reading and of those that are held by their handlers.
 	used    int64
 	reading map[*client]bool
@@ -72,7 +90,7 @@
 type state uint8
 
 const (
-	none state = iota // not counted, as it has ended or is being closed
+	none state = iota // not counted, as it has no place yet, has ended or is being closed
 	waiting
 	idle
 	running
@@ -84,7 +102,10 @@
 		memoryBytes = defaultMemory
 	}
 	share := memoryBytes / connectionParts
-	l := &Limits{BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes)}
+	l := &Limits{
+		BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes),
+		MinWait: minWait, MaxWait: maxWait,
+	}
 	var descriptors syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
 		most := descriptors.Cur / descriptorParts
@@ -100,7 +121,9 @@
 	// Fields below are guarded by limits.mu.
 	state state
 	since time.Time
-	share int64
+	// closed is set when the connection is closed for another one.
+	closed bool
+	share  int64
 	// progress is when the body last took memory.
 	progress time.Time
 	// evicted is set once the body has lost its memory.
@@ -112,6 +135,12 @@
 // Track makes the limits hold for the connections of a server that does not serve yet. It extends the server's
 // ConnState, ConnContext and Handler.
 func (l *Limits) Track(server *http.Server) {
+	l.mu.Lock()
+	if l.placeFree == nil {
+		l.placeFree = sync.NewCond(&l.mu)
+		l.conns, l.reading = make(map[net.Conn]*client), make(map[*client]bool)
+	}
+	l.mu.Unlock()
 	outerState, outerContext, next := server.ConnState, server.ConnContext, server.Handler
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		l.observe(conn, state)
@@ -123,7 +152,8 @@
 		if outerContext != nil {
 			ctx = outerContext(ctx, conn)
 		}
-		return context.WithValue(ctx, clientKey{}, l.client(conn))
+		boundReadBuffer(conn)
+		return context.WithValue(ctx, clientKey{}, l.admit(conn))
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := clientOf(r)
@@ -131,8 +161,8 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		if r.ContentLength == 0 {
-			l.received(c)
+		if !l.begin(c, r.ContentLength != 0) {
+			panic(http.ErrAbortHandler)
 		}
 		defer l.release(c)
 		next.ServeHTTP(w, r)
@@ -144,91 +174,35 @@
 	return c
 }
 
-// client returns the state of a connection, which it adds if it is new.
-func (l *Limits) client(conn net.Conn) *client {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.add(conn)
-}
-
-func (l *Limits) add(conn net.Conn) *client {
-	c := l.conns[conn]
-	if c == nil {
-		if l.conns == nil {
-			l.conns, l.reading = make(map[net.Conn]*client), make(map[*client]bool)
-		}
-		c = &client{limits: l, conn: conn}
-		l.conns[conn] = c
-	}
-	return c
-}
-
-// observe records a change of state. Bytes of a first or further request do not change since when a connection waits.
+// observe records a change of state.
 func (l *Limits) observe(conn net.Conn, to http.ConnState) {
-	l.mu.Lock()
-	var victim net.Conn
 	switch to {
-	case http.StateNew:
-		victim = l.change(l.add(conn), waiting)
 	case http.StateIdle:
-		victim = l.change(l.add(conn), idle)
-	case http.StateActive:
-		if c := l.conns[conn]; c != nil && c.state == idle {
-			victim = l.change(c, waiting)
-		}
+		l.rest(conn)
 	case http.StateClosed, http.StateHijacked:
-		if c := l.conns[conn]; c != nil {
-			l.change(c, none)
-			delete(l.conns, conn)
-		}
-	}
-	l.mu.Unlock()
-	if victim != nil {
-		l.Closed.Add(1)
-		_ = victim.Close()
-	}
-	if to == http.StateNew {
-		boundReadBuffer(conn)
+		l.forget(conn)
+	case http.StateNew, http.StateActive:
+		// ConnContext has recorded a new connection, begin and Read record whether the request has a body.
 	}
 }
 
 // boundReadBuffer bounds the memory of bytes that have arrived.
 func boundReadBuffer(conn net.Conn) {
-	for {
-		outer, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		conn = outer.NetConn()
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp := socket(conn); tcp != nil {
 		_ = tcp.SetReadBuffer(readBufferBytes)
 	}
 }
 
-// change sets the state of a connection. It returns the connection to close if there are too many in that state, which
-// is the oldest of them; nil if there are not.
-func (l *Limits) change(c *client, to state) net.Conn {
-	l.set(c, to)
-	c.since = time.Now()
-	tooMany := to == waiting && l.counts[to] > l.MaxWaiting || to == idle && l.counts[to] > l.MaxIdle
-	if !tooMany {
-		return nil
-	}
-	oldest := c
-	for _, other := range l.conns {
-		if other.state == to && other.since.Before(oldest.since) {
-			oldest = other
+// socket returns the TCP connection below conn; nil if there is none.
+func socket(conn net.Conn) *net.TCPConn {
+	for {
+		outer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			tcp, _ := conn.(*net.TCPConn)
+			return tcp
 		}
+		conn = outer.NetConn()
 	}
-	l.set(oldest, none)
-	return oldest.conn
-}
-
-func (l *Limits) set(c *client, to state) {
-	l.counts[c.state]--
-	l.counts[to]++
-	c.state = to
 }
 
 // Trust marks a request of another daemon, whose body may arrive as a stream without an end, as received.
@@ -238,14 +212,32 @@
 	}
 }
 
-// received records that the whole request was read.
-func (l *Limits) received(c *client) {
+// begin records that the head of a request was read. It reports false if the connection was closed for another one, so
+// that no response could be sent.
+func (l *Limits) begin(c *client, hasBody bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.state == waiting {
-		l.change(c, running)
+	switch {
+	case c.closed:
+		return false
+	case !hasBody:
+		l.set(c, running)
+	case c.state == idle:
+		// Not every handler reads the body, so that the connection remains one of the idle ones until Read.
+		c.since = time.Now()
 	}
+	return true
+}
+
+// received records that the whole request was read. It reports false if the connection was closed for another one.
+func (l *Limits) received(c *client) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.reading, c)
+	if !c.closed {
+		l.set(c, running)
+	}
+	return !c.closed
 }
 
 // release returns the memory of the client's body.
@@ -283,4 +275,5 @@
 	meter.RegisterGauge(r, "intake.idle", l.Idle)
 	meter.RegisterGauge(r, "intake.refused", l.Refused.Load)
 	meter.RegisterGauge(r, "intake.closed", l.Closed.Load)
+	meter.RegisterGauge(r, "intake.heldUp", l.HeldUp.Load)
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -16,9 +16,18 @@
 
 // start starts a server that reads bodies of at most a megabyte.
 func start(t *testing.T, l *Limits) *httptest.Server {
+	t.Helper()
+	return startHeld(t, l, &heldListener{}, func(*http.Request) {})
+}
+
+// startHeld is start with a listener that holds up connections. Requests whose bodies were read are passed to handle.
+func startHeld(t *testing.T, l *Limits, h *heldListener, handle func(*http.Request)) *httptest.Server {
 	t.Helper()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := Read(r, 1<<20, time.Now().Add(20*time.Second))
+		if err == nil {
+			handle(r)
+		}
 		if err != nil {
 			w.Header().Set("Connection", "close")
 		}
@@ -34,6 +43,8 @@
 		}
 	}))
 	l.Track(server.Config)
+	h.Listener = server.Listener
+	server.Listener = h
 	server.Start()
 	t.Cleanup(server.Close)
 	return server
