--- a/internal/proxy/assist.go
+++ b/internal/proxy/assist.go
@@ -17,6 +17,7 @@
 	"swiftbeam/internal/place"
 	"swiftbeam/internal/retry"
 	"swiftbeam/internal/rules"
+	"swiftbeam/internal/spool"
 	"swiftbeam/pkg/clock"
 )
 
@@ -145,13 +146,16 @@
 }
 
 // passOn sends the response of a server to the other daemon as it arrives. If the server breaks off before the first byte
-// of the body, nothing is sent, so that the other daemon learns that it was the server.
+// of the body, nothing is sent, so that the other daemon learns that it was the server. A body ends where the other daemon
+// finds it too long, as what is read beyond that only fills the buffers between the daemons.
 func (a *attempt) passOn(ctx context.Context, server *place.Server, r *http.Response, result retry.Result) retry.Result {
 	x := a.exchange
 	flusher := http.NewResponseController(x.w)
 	b := make([]byte, passBufferBytes)
+	limited, passed := !isEventStream(r), 0
 	for {
 		n, err := r.Body.Read(b)
+		passed += n
 		ended := errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
 		if !x.responseStarted && (n > 0 || ended) {
 			a.startPassing(server, r)
@@ -168,6 +172,9 @@
 				return a.failed(ctx, server, "other daemon's connection", err)
 			}
 		}
+		if limited && passed > maxResponse {
+			return a.failed(ctx, server, "answer cut short", errors.Wrapf(spool.ErrTooLong, "more than %d bytes", maxResponse))
+		}
 		if ended {
 			a.complete, x.ended = true, true
 			return result
