--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -22,14 +22,6 @@
 	// SpendingUnknown is set on a leader whose process was restarted less than a window before, so that
 	// the entry daemons may have been restarted too.
 	SpendingUnknown bool
-	// RequireRecords is set where records are kept of what a new leader has to know. A run then gets grants after Inherit
-	// and once it is recorded, and all runs together no more than a record has authorized.
-	RequireRecords bool
-	// RecordNeeded is set when grants wait for a record, or soon will.
-	RecordNeeded bool
-
-	inherited  inheritance
-	runChanges []RunRecord
 
 	totals map[string]*totals
 	// runs contains the runs of daemons by NAME/BOOT, latest the last run of each daemon by name, which
@@ -80,7 +72,6 @@
 	recordedAt clock.Instant
 	survived   float64
 	survivedAt float64
-	authority  authority
 }
 
 // run is the record of one run of an entry daemon.
@@ -89,9 +80,6 @@
 	daemon     string
 	reportedAt clock.Instant
 	lost       bool
-	// listed is set once the run is recorded, heir if it was recorded by an earlier leader.
-	listed bool
-	heir   bool
 	// ended is set after the run's last report, or when a later run has reported. Reports that arrive
 	// later are ignored.
 	ended    bool
@@ -114,21 +102,17 @@
 	reportedSpent float64
 	counted       float64
 	exposure      float64
-	// firstExposure is the exposure at the first report to this leader.
-	firstExposure float64
 }
 
-// Grant processes a report and returns the grants for it; none while a new leader collects reports or a request has to
-// wait for a record.
+// Grant processes a report and returns the grants for it; none while a new leader collects reports.
 func (al *Allocator) Grant(now clock.Instant, set *rules.Set, report Report) []Grant {
 	al.expire(now)
 	r := al.receive(now, report)
 	if r.ended {
 		return nil
 	}
-	collecting := !al.SpendingUnknown && now.Sub(al.StartedAt) < collectTime || al.RequireRecords && !r.listed
+	collecting := !al.SpendingUnknown && now.Sub(al.StartedAt) < collectTime
 	var grants []Grant
-	waits := false
 	for i := range report.Uses {
 		u := &report.Uses[i]
 		a := set.Account(u.Account)
@@ -138,12 +122,9 @@
 		h := r.holdings[a.Name]
 		t := al.total(a.Name)
 		if h == nil {
-			h = &holding{firstExposure: max(u.Lease, u.Spent+u.Unspent.Sum())}
+			h = &holding{}
 			r.holdings[a.Name] = h
 			t.holders++
-			if r.heir {
-				t.authority.hear(h)
-			}
 		}
 		al.count(now, t, h, u, report.SinceRestart)
 		if report.Last {
@@ -153,17 +134,11 @@
 		if collecting || report.Last {
 			continue
 		}
-		g, ok := al.grant(now, r, h, u, a, report.SinceLast)
-		waits = waits || !ok
-		grants = append(grants, g)
+		grants = append(grants, al.grant(now, r, h, u, a, report.SinceLast))
 	}
 	if report.Last {
 		al.end(now, r)
 	}
-	if waits {
-		// A reply with grants would end the wait of the request. The next report returns the other grants.
-		return nil
-	}
 	return grants
 }
 
@@ -185,8 +160,8 @@
 	h.spent, h.unspent, h.lease, h.total = u.Spent, u.Unspent.Sum(), u.Lease, u.Total
 }
 
-// grant grants a part of one account and computes the lease. It reports false if a request has to wait for a record.
-func (al *Allocator) grant(now clock.Instant, r *run, h *holding, u *Use, a *rules.Account, sinceLast clock.Duration) (Grant, bool) {
+// grant grants a part of one account and computes the lease.
+func (al *Allocator) grant(now clock.Instant, r *run, h *holding, u *Use, a *rules.Account, sinceLast clock.Duration) Grant {
 	t := al.total(a.Name)
 	limit := Limit(al.Bounds, a)
 	past := t.recordedUnknown(now, al.Bounds.Window)
@@ -198,21 +173,16 @@
 		}
 	}
 	daemons := max(al.ExpectedDaemons, t.holders, 1)
-	ended := t.ended.Sum(now) + past + al.unheard(now, t)
+	ended := t.ended.Sum(now) + past
 	remaining := limit - ended - t.counted - al.unreported(now, t, limit)
 	// Leases of other daemons are reserved: they may use them while this daemon uses its grants.
-	reserved := ended + t.exposure - h.exposure
-	available := min(remaining, limit-reserved-h.counted)
+	available := min(remaining, limit-ended-(t.exposure-h.exposure)-h.counted)
 	g := Grant{Account: a.Name, Scarce: remaining < scarceFraction*limit}
 	ahead := 0.0
 	if !g.Scarce {
 		ahead = aheadFraction * remaining / float64(daemons)
 	}
 	g.Quantity = grantByLevel(u, available, limit, ahead, sinceLast)
-	if al.RequireRecords && !t.authority.cut(&g.Quantity, u, reserved+h.counted) {
-		al.RecordNeeded = true
-		return Grant{}, false
-	}
 	h.unspent += g.Quantity.Sum()
 	even := evenFraction * limit / float64(daemons)
 	part := (h.spent + even) / (t.spent + evenFraction*limit)
@@ -220,16 +190,10 @@
 	// Leases are reserved, so they shrink faster than what remains when that is scarce.
 	rest *= min(rest/(scarceFraction*limit), 1)
 	g.Lease = h.spent + h.unspent + leaseFraction*rest*part
-	g.Lease = max(min(g.Lease, limit-reserved), 0)
-	if al.RequireRecords {
-		g.Lease = t.authority.cutLease(g.Lease, reserved, limit)
-	}
+	g.Lease = max(min(g.Lease, limit-ended-(t.exposure-h.exposure)), 0)
 	h.lease = max(h.lease, g.Lease)
 	al.update(t, r, h)
-	if t.authority.isScarce(ended+t.exposure, limit) {
-		al.RecordNeeded = true
-	}
-	return g, true
+	return g
 }
 
 // grantByLevel grants what is available, the urgent levels first: what was requested since the last
@@ -256,7 +220,7 @@
 // unreported returns what is assumed to have been spent, in the first window of a new leader, by the
 // daemons that have not reported yet and by the earlier runs of those that were restarted.
 func (al *Allocator) unreported(now clock.Instant, t *totals, limit float64) float64 {
-	if al.inherited.runs > 0 || al.ExpectedDaemons == 0 || now.Sub(al.StartedAt) >= al.Bounds.Window {
+	if al.ExpectedDaemons == 0 || now.Sub(al.StartedAt) >= al.Bounds.Window {
 		return 0
 	}
 	missing := float64(max(al.ExpectedDaemons-t.holders, 0))
@@ -317,7 +281,6 @@
 			al.restarted = append(al.restarted, now.Add(-report.SinceRestart))
 		}
 		al.runs[name], al.latest[daemon] = r, r
-		al.join(now, r, report.SinceRestart)
 		r.element = al.connected.PushBack(r)
 	}
 	r.reportedAt = now
@@ -349,32 +312,27 @@
 		if now.Sub(r.reportedAt) <= al.Bounds.Window+leaseAfter {
 			break
 		}
-		al.drop(now, r)
+		al.drop(r)
 	}
 }
 
 // end drops a run that has ended, and keeps what it spent. What was unspent at its last report may have
-// been spent since, and the whole lease if the run was out of contact.
+// been spent since.
 func (al *Allocator) end(now clock.Instant, r *run) {
 	for account, h := range r.holdings {
 		t := al.total(account)
-		unseen, reported := h.unspent, 0.0
 		if h.recent != nil {
 			t.ended.Merge(now, h.recent)
-			reported = h.recent.Sum(now)
-		}
-		if r.lost {
-			unseen = max(unseen, h.counted-reported)
 		}
-		t.ended.Add(now, unseen)
-		t.recent.Add(now, unseen)
+		t.ended.Add(now, h.unspent)
+		t.recent.Add(now, h.unspent)
 	}
-	al.drop(now, r)
+	al.drop(r)
 	r.ended = true
 }
 
 // drop removes a run and its parts. It may report again later, after a long partition.
-func (al *Allocator) drop(now clock.Instant, r *run) {
+func (al *Allocator) drop(r *run) {
 	if r.lost {
 		al.lost.Remove(r.element)
 	} else {
@@ -391,7 +349,6 @@
 	}
 	delete(al.runs, r.name)
 	r.holdings = nil
-	al.changeRun(RunRecord{Run: r.name, EndedAt: now})
 }
 
 // update brings the totals in line with a holding.
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -17,8 +17,6 @@
 	// recordedFraction is the part of the limit that is granted after a restart of all, with what was recorded: the rest is
 	// for what was spent after the record.
 	recordedFraction = 0.85
-	// recordRenewal is the age at which a record is stored again, well before the replicated state drops it.
-	recordRenewal = 20 * clock.Second
 )
 
 // Record is what an account has spent. It is kept where it survives the loss of the leader and of all entry daemons at
@@ -29,8 +27,6 @@
 	At clock.Instant
 	// Spent is what was spent, or granted and not spent yet, in each part of the window before At, the latest first.
 	Spent []float64
-	// Authorized is what all runs together may spend in a window until the next record, including what they have spent.
-	Authorized float64
 
 	unrecorded float64
 	unspent    float64
@@ -42,10 +38,8 @@
 	quantity float64
 }
 
-// Due returns records of the accounts that have spent much since the last one, or need another authority. Call Recorded with
-// those that were stored.
+// Due returns records of the accounts that have spent much since the last one. Call Recorded with those that were stored.
 func (al *Allocator) Due(now, clusterTime clock.Instant, set *rules.Set) []Record {
-	al.RecordNeeded = false
 	var due []Record
 	for name, t := range al.totals {
 		a := set.Account(name)
@@ -53,15 +47,12 @@
 			continue
 		}
 		limit, unspent := Limit(al.Bounds, a), max(t.counted-t.spent, 0)
-		exposure := t.exposure + t.ended.Sum(now) + t.recordedUnknown(now, al.Bounds.Window) + al.unheard(now, t)
-		spentMuch := t.unrecorded+max(unspent-t.recordedUnspent, 0) >= recordStep*limit && t.counted+t.ended.Sum(now) >= recordFrom*limit
-		if !spentMuch && !t.authority.isDue(now, exposure, limit) {
+		if t.unrecorded+max(unspent-t.recordedUnspent, 0) < recordStep*limit || t.counted+t.ended.Sum(now) < recordFrom*limit {
 			continue
 		}
-		authorized := t.authority.authorize(now, exposure, limit)
 		spent := t.recent.Parts(now)
 		spent[0] += unspent
-		due = append(due, Record{Account: name, At: clusterTime, Spent: spent, Authorized: authorized, unrecorded: t.unrecorded, unspent: unspent})
+		due = append(due, Record{Account: name, At: clusterTime, Spent: spent, unrecorded: t.unrecorded, unspent: unspent})
 	}
 	slices.SortFunc(due, func(a, b Record) int { return strings.Compare(a.Account, b.Account) })
 	return due
@@ -72,7 +63,6 @@
 	for i := range records {
 		t := al.total(records[i].Account)
 		t.unrecorded, t.recordedUnspent = max(t.unrecorded-records[i].unrecorded, 0), records[i].unspent
-		t.authority.granted = records[i].Authorized
 	}
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -108,12 +108,9 @@
 	Evidence crash.Evidence
 }
 
-// RecordSpending replaces the records of what accounts have spent, and of the runs of entry daemons that spent it. It is
-// stale once a leader with a higher term has sent one.
+// RecordSpending replaces the records of what accounts have spent.
 type RecordSpending struct {
-	Term    uint64
 	Records []quota.Record
-	Runs    []quota.RunRecord
 }
 
 func (PutSection) command()     {}
@@ -164,9 +161,6 @@
 	Crashes crash.Table
 	// Spending is the last record of what each account has spent of its quota.
 	Spending map[string]quota.Record
-	// SpendingTerm is the term of the leader that recorded spending last. QuotaRuns are the runs of entry daemons that may have grants, with the times at which they ended.
-	SpendingTerm uint64
-	QuotaRuns    map[string]clock.Instant
 	// Evacuations are the availability zones that are evacuated or were, by name.
 	Evacuations map[string]Evacuation
 	// Departures are the departures of backend servers, by the ID of the server. DepartureRevision is the last
@@ -216,7 +210,7 @@
 		s.Crashes.Apply(b.At, &b.Evidence)
 		return Result{Version: s.Crashes.Revision}
 	case RecordSpending:
-		return s.recordSpending(b)
+		s.recordSpending(b.Records)
 	case EvacuateZone:
 		return s.setEvacuation(Evacuation{Zone: b.Zone, Evacuated: true, Since: b.At, By: b.By}, b.Seen)
 	case ReturnZone:
@@ -227,25 +221,14 @@
 	return Result{}
 }
 
-// recordSpending replaces the records of accounts and runs, and drops those that are much older.
-func (s *State) recordSpending(b RecordSpending) Result {
-	if b.Term < s.SpendingTerm {
-		return Result{Code: Stale, Detail: "a later leader has recorded spending"}
-	}
-	s.SpendingTerm = b.Term
-	for _, r := range b.Runs {
-		s.QuotaRuns[r.Run] = r.EndedAt
-	}
-	maps.DeleteFunc(s.QuotaRuns, func(_ string, endedAt clock.Instant) bool {
-		return endedAt > 0 && s.Now.Sub(endedAt) > spendingRetention
-	})
+// recordSpending replaces the records of accounts, and drops those that are much older.
+func (s *State) recordSpending(records []quota.Record) {
 	latest := clock.Instant(0)
-	for _, r := range b.Records {
+	for _, r := range records {
 		s.Spending[r.Account] = r
 		latest = max(latest, r.At)
 	}
 	maps.DeleteFunc(s.Spending, func(_ string, r quota.Record) bool { return latest.Sub(r.At) > spendingRetention })
-	return Result{}
 }
 
 // Skip marks a log entry without a command as applied.
@@ -263,7 +246,6 @@
 	s.Usage = make(map[uint64]Usage)
 	s.Rollouts = make(map[string]*Rollout)
 	s.Spending = make(map[string]quota.Record)
-	s.QuotaRuns = make(map[string]clock.Instant)
 	s.Evacuations = make(map[string]Evacuation)
 	s.Departures = make(map[string]Departure)
 }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -55,7 +55,7 @@
 	case state.RecordCrashes:
 		m.Body = &peerpb.Command_RecordCrashes{RecordCrashes: &peerpb.RecordCrashes{At: int64(b.At), Evidence: EvidenceToPB(&b.Evidence)}}
 	case state.RecordSpending:
-		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Term: b.Term, Records: spendingToPB(b.Records), Runs: quotaRunsToPB(b.Runs)}}
+		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Records: spendingToPB(b.Records)}}
 	case state.EvacuateZone:
 		m.Body = &peerpb.Command_EvacuateZone{EvacuateZone: &peerpb.EvacuateZone{Zone: b.Zone, By: b.By, At: int64(b.At), Seen: (*int64)(b.Seen)}}
 	case state.ReturnZone:
@@ -120,7 +120,7 @@
 	case *peerpb.Command_RecordCrashes:
 		c.Body = state.RecordCrashes{At: clock.Instant(b.RecordCrashes.GetAt()), Evidence: EvidenceFromPB(b.RecordCrashes.GetEvidence())}
 	case *peerpb.Command_RecordSpending:
-		c.Body = state.RecordSpending{Term: b.RecordSpending.GetTerm(), Records: spendingFromPB(b.RecordSpending.GetRecords()), Runs: quotaRunsFromPB(b.RecordSpending.GetRuns())}
+		c.Body = state.RecordSpending{Records: spendingFromPB(b.RecordSpending.GetRecords())}
 	case *peerpb.Command_EvacuateZone:
 		p := b.EvacuateZone
 		c.Body = state.EvacuateZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt()), Seen: (*clock.Instant)(p.Seen)}
@@ -214,10 +214,6 @@
 	}
 	m.Crashes = crashTableToPB(&s.Crashes)
 	m.Spending = spendingToPB(slices.Collect(maps.Values(s.Spending)))
-	m.SpendingTerm = s.SpendingTerm
-	for run, endedAt := range s.QuotaRuns {
-		m.QuotaRuns = append(m.QuotaRuns, &peerpb.QuotaRun{Run: run, EndedAt: int64(endedAt)})
-	}
 	for _, e := range s.Evacuations {
 		m.Evacuations = append(m.Evacuations, EvacuationToPB(e))
 	}
@@ -232,7 +228,6 @@
 	sortBy(m.Moves, (*peerpb.Move).GetService)
 	sortBy(m.Orders, (*peerpb.OrderRecord).GetOperation)
 	sortBy(m.Spending, (*peerpb.SpendingRecord).GetAccount)
-	sortBy(m.QuotaRuns, (*peerpb.QuotaRun).GetRun)
 	sortBy(m.Evacuations, (*peerpb.EvacuationRecord).GetZone)
 	sortBy(m.Departures, (*peerpb.DepartureRecord).GetId)
 	sortBy(m.Rollouts, func(r *peerpb.RolloutRecord) string { return r.GetMove().GetService() })
@@ -286,10 +281,6 @@
 	for _, r := range spendingFromPB(m.GetSpending()) {
 		s.Spending[r.Account] = r
 	}
-	s.SpendingTerm = m.GetSpendingTerm()
-	for _, r := range m.GetQuotaRuns() {
-		s.QuotaRuns[r.GetRun()] = clock.Instant(r.GetEndedAt())
-	}
 	for _, r := range m.GetEvacuations() {
 		s.Evacuations[r.GetZone()] = EvacuationFromPB(r)
 	}
@@ -304,7 +295,7 @@
 func spendingToPB(records []quota.Record) []*peerpb.SpendingRecord {
 	var list []*peerpb.SpendingRecord
 	for i := range records {
-		list = append(list, &peerpb.SpendingRecord{Account: records[i].Account, At: int64(records[i].At), Spent: records[i].Spent, Authorized: records[i].Authorized})
+		list = append(list, &peerpb.SpendingRecord{Account: records[i].Account, At: int64(records[i].At), Spent: records[i].Spent})
 	}
 	return list
 }
@@ -312,27 +303,11 @@
 func spendingFromPB(list []*peerpb.SpendingRecord) []quota.Record {
 	var records []quota.Record
 	for _, m := range list {
-		records = append(records, quota.Record{Account: m.GetAccount(), At: clock.Instant(m.GetAt()), Spent: m.GetSpent(), Authorized: m.GetAuthorized()})
+		records = append(records, quota.Record{Account: m.GetAccount(), At: clock.Instant(m.GetAt()), Spent: m.GetSpent()})
 	}
 	return records
 }
 
-func quotaRunsToPB(runs []quota.RunRecord) []*peerpb.QuotaRun {
-	var list []*peerpb.QuotaRun
-	for i := range runs {
-		list = append(list, &peerpb.QuotaRun{Run: runs[i].Run, EndedAt: int64(runs[i].EndedAt)})
-	}
-	return list
-}
-
-func quotaRunsFromPB(list []*peerpb.QuotaRun) []quota.RunRecord {
-	var runs []quota.RunRecord
-	for _, m := range list {
-		runs = append(runs, quota.RunRecord{Run: m.GetRun(), EndedAt: clock.Instant(m.GetEndedAt())})
-	}
-	return runs
-}
-
 func departuresToPB(departures []state.Departure) []*peerpb.DepartureRecord {
 	var list []*peerpb.DepartureRecord
 	for i := range departures {
