pool: responses that arrive without end let other requests run

Cause: a response that arrives faster than it is passed on never blocks the goroutine that reads it, so that each such goroutine keeps the only processor until the runtime preempts it, 10 ms later. A request has to wait for all others four times (accept, read, send on, answer): its log line says 0.8 to 1.0 s for the part in the handler alone. schedtrace: 60 to 150 goroutines are ready to run, and 33 to 330 of them get a turn in 0.5 s.

Change: a connection to a server lets other goroutines run after each 64 KB that it has read.

TestEndlessResponsesLetOthersRun failed before: 67 to 126 GB are read by 60 goroutines before another one runs, 7.5 MB are allowed; 10 of 10 passed now.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -19,6 +19,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -55,6 +56,8 @@
 	// unreadBytes bounds what the system holds of a response that is not read, which counts as memory of the process. It
 	// lets a server at 80 ms one way send 400 KB/s. The system doubles it for its own use.
 	unreadBytes = 64 << 10
+	// turnBytes is what is read of a response at a time while other goroutines are ready to run.
+	turnBytes = 64 << 10
 	// maxSkippedResponses is the number of responses to other requests that are skipped.
 	maxSkippedResponses = 2
 	// maxInterimResponses bounds the interim responses to one request.
@@ -256,10 +259,23 @@
 	from      io.Reader
 	limited   bool
 	remaining int
+	// turn is what was read since the goroutine last let others run.
+	turn int
 }
 
-// Read returns ErrHeadTooLong when the limit is used up.
+// Read returns ErrHeadTooLong when the limit is used up. A response that arrives faster than it is passed on never blocks
+// its goroutine, which would keep the processor from short requests until it is preempted.
 func (l *limitedInput) Read(b []byte) (int, error) {
+	if l.turn >= turnBytes {
+		l.turn = 0
+		runtime.Gosched()
+	}
+	n, err := l.read(b)
+	l.turn += n
+	return n, err
+}
+
+func (l *limitedInput) read(b []byte) (int, error) {
 	if !l.limited {
 		return l.from.Read(b)
 	}
