duty: a restarted process counts the calls of the one before it as in transit

Cause: a process that has just started took the calls of an earlier process of its VM for settled, as their connections are reset with the process. What is on its way by then still arrives, up to MaxTransit later: the lease was short by that when the old holder was restarted before the next one called, and led again. The test took the assumption over: it cut off the transit of calls at a restart, and restarted only daemons that acquire the duties. Class: a bound that sender and receiver count from different instants. Change: the lease of a new process counts from its start and MaxTransit. The test restarts deposed holders, too, and their calls still arrive. Price: a daemon that acquires the duties within 3 s of its own start waits up to 1 s longer (4.3 s after the start instead of 3.3 s); others wait as before. TestFirstCallOfAHolder has a case for it (2,300 ms before, 3,300 now).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -148,7 +148,7 @@
 	}
 	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool), withoutStart: make(map[string]clock.Instant), departures: ring.New[departure](maxDepartureBatch)}
 	c.started = c.clock.Now()
-	c.duties.tenure.Start(c.started)
+	c.duties.tenure.Start(c.started, c.dutySettings())
 	c.SetSeeds(s.Seeds)
 	c.Net = peers.New(peers.Options{Token: s.PeerToken, Dial: o.Dial})
 	c.Store = &store.Store{
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -77,9 +77,7 @@
 type Tenure struct {
 	Fence   uint64
 	BeganAt clock.Instant
-	// arrivedBy is the time by which all calls of this process that have ended have arrived, or from which on they cannot
-	// arrive any more. Before the first call it is the start of the process, as calls of an earlier process on this
-	// VM are unknown; its connections were reset with it.
+	// arrivedBy is the time by which all calls of this VM that have ended have arrived, or from which on they cannot arrive any more.
 	arrivedBy clock.Instant
 	// open contains the times until which the calls that have not ended may arrive.
 	open map[Call]clock.Instant
@@ -88,8 +86,11 @@
 	othersSent bool
 }
 
-// Start records the start of the process.
-func (t *Tenure) Start(now clock.Instant) { t.arrivedBy, t.othersSent = now, true }
+// Start records the start of the process. Calls of an earlier process on this VM are unknown and may still be in transit, though its
+// connections were reset.
+func (t *Tenure) Start(now clock.Instant, s Settings) {
+	t.arrivedBy, t.othersSent = now.Add(s.MaxTransit), true
+}
 
 // Begin records that a commit granted the duties with a fencing number.
 func (t *Tenure) Begin(now clock.Instant, fence uint64) {
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -56,13 +56,15 @@
 }
 
 // TestFirstCallOfAHolder checks that a daemon that never held the duties sends as soon as all calls
-// of the previous holder must have arrived, and that a daemon that recently lost the duties waits for
-// the lease first.
+// of the previous holder must have arrived, and that a daemon that recently lost the duties, or that was
+// restarted, waits for the lease first.
 func TestFirstCallOfAHolder(t *testing.T) {
 	s := Settings{Lease: 3 * clock.Second, MaxPause: 300, MaxTransit: 1000, MaxContactAge: 300}
-	var newHolder, returning Tenure
-	newHolder.Start(-60_000)
-	returning.Start(-60_000)
+	var newHolder, returning, restarted Tenure
+	restarted.Start(-1000, s)
+	restarted.Begin(0, 4)
+	newHolder.Start(-60_000, s)
+	returning.Start(-60_000, s)
 	returning.Begin(-50_000, 1)
 	returning.Ended(-100, returning.Sent(-100, s), Answered)
 	returning.End()
@@ -72,7 +74,7 @@
 		name   string
 		tenure *Tenure
 		want   clock.Instant
-	}{{"new", &newHolder, 1300}, {"back", &returning, 3200}} {
+	}{{"new", &newHolder, 1300}, {"back", &returning, 3200}, {"restarted", &restarted, 3300}} {
 		first := clock.Instant(-1)
 		for now := clock.Instant(0); now < 10_000 && first < 0; now += 100 {
 			if test.tenure.MaySend(now, now, s) {
@@ -148,8 +150,12 @@
 	})
 }
 
-// changeLeader makes some daemon the leader, at times after a restart. The others have no contact with a quorum from then on.
+// changeLeader makes some daemon the leader, at times after a restart of the old or the new one. The others have no contact with a
+// quorum from then on.
 func (w *world) changeLeader() {
+	if w.rng.IntN(4) == 0 {
+		w.restart(w.leader)
+	}
 	w.leader = w.rng.IntN(len(w.tenures))
 	if w.rng.IntN(4) == 0 {
 		w.restart(w.leader)
@@ -158,15 +164,10 @@
 	w.tenures[w.leader].Begin(w.now, w.fence)
 }
 
-// restart starts a daemon's process anew. Calls of the old one arrive at once or not at all.
+// restart starts a daemon's process anew. Calls of the old one that are in transit still arrive.
 func (w *world) restart(holder int) {
-	for i := range w.arrivals {
-		if a := &w.arrivals[i]; a.holder == holder {
-			a.at = min(a.at, w.now)
-		}
-	}
 	w.tenures[holder] = &Tenure{}
-	w.tenures[holder].Start(w.now)
+	w.tenures[holder].Start(w.now, w.settings)
 }
 
 // play lets the daemons call the cloud for some time while the leader changes each 0.6 to 3.6 s.
@@ -222,8 +223,8 @@
 	for _, thaw := range []clock.Duration{0, 100, 300, 1000} {
 		s := Settings{Lease: 3 * clock.Second, MaxPause: thaw, MaxTransit: 1000, MaxContactAge: 300}
 		var old, next Tenure
-		old.Start(-60_000)
-		next.Start(-60_000)
+		old.Start(-60_000, s)
+		next.Start(-60_000, s)
 		old.Begin(-50_000, 1)
 		next.Begin(0, 2)
 		arrivesBy, first := clock.Instant(-1), clock.Instant(-1)
