quorum: a reply to a message of an earlier term proves no contact

Cause: a member that rejects an append of an earlier term returned the time at which it was sent. If the leader was restarted meanwhile, that time is of the clock of its earlier process, which started at another time of day when the clock of the VM was stepped since. A clock that was ahead kept the leader in contact with a quorum at its own last tick, whoever replied, until the next check of its replies (0.6 to 1.2 s), in which it may call the cloud. Class: a lease that outlasts the contact it stands for. Change: such a reply has no time. The leader of the earlier term has no use for it, as it steps down. Measured: TestRepliesToAnEarlierTermDoNotProveContact fails before (2400 instead of 2000), passes now; the package passes.

--- a/internal/quorum/contact_test.go
+++ b/internal/quorum/contact_test.go
@@ -55,3 +55,27 @@
 		}
 	}
 }
+
+// TestRepliesToAnEarlierTermDoNotProveContact guards against contact at the time of a message of an earlier process of the leader, whose
+// clock was ahead.
+func TestRepliesToAnEarlierTermDoNotProveContact(t *testing.T) {
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	follower := Load(Settings{Self: "b", ElectionTimeout: 600, Heartbeat: 120, Seed: 1}, 0, HardState{Term: 1}, Snapshot{Index: 1, Term: 1, Members: members}, nil)
+	leader := Load(Settings{Self: "a", ElectionTimeout: 600, Heartbeat: 120, Seed: 1}, 0, HardState{Term: 1}, Snapshot{Index: 1, Term: 1, Members: members}, nil)
+	leader.Step(2000, Tick{})
+	leader.Step(2000, Receive{Message: Message{Kind: PreVoteReply, From: "c", To: "a", Term: 2}})
+	leader.Step(2000, Receive{Message: Message{Kind: VoteReply, From: "c", To: "a", Term: 2}})
+	if leader.Role != Leader {
+		t.Fatalf("got role %v, want a leader", leader.Role)
+	}
+	const aheadByMinute = 62_000
+	follower.Step(2000, Receive{Message: Message{Kind: Append, From: "a", To: "b", Term: 2, Index: 1, LogTerm: 1, Sent: 2000}})
+	follower.Step(2010, Receive{Message: Message{Kind: Append, From: "a", To: "b", Term: 1, Index: 1, LogTerm: 1, Sent: aheadByMinute}})
+	for _, m := range follower.Take().Messages {
+		leader.Step(2020, Receive{Message: m})
+	}
+	leader.Step(2400, Tick{})
+	if got, want := leader.ContactAt(), clock.Instant(2000); got != want {
+		t.Errorf("400 ms after the last reply: got contact at %v, want %v", int64(got), int64(want))
+	}
+}
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -220,7 +220,8 @@
 func (c *Raft) rejectStale(m Message) {
 	switch m.Kind {
 	case Append, Install:
-		c.send(Message{Kind: AppendReply, To: m.From, Sent: m.Sent, Reject: true, Hint: c.log.last()})
+		// Sent stays zero: an earlier process of the leader may have had another clock.
+		c.send(Message{Kind: AppendReply, To: m.From, Reject: true, Hint: c.log.last()})
 	case PreVote:
 		c.send(Message{Kind: PreVoteReply, To: m.From, Reject: true})
 	}
