buyer: an order is not sent after contact with the quorum is lost

Cause: an order of the own interface was recorded with its fencing number and then sent over the HTTP transport, whatever happened in between. The cloud accepts the order of a former leader as long as no order with a higher number has arrived, so one that was recorded before a pause could start replicas, or stop the VM at an address, that another leader had decided anew. Class: a check whose answer is used later than it holds. Change: orders are calls of duty.NewClient with a gate: the daemon must still lead the term of the order and have had contact with a quorum within half an election timeout, checked again before each write. That client speaks plain HTTP only: it refuses other schemes instead of sending plain text to them, the setting "cloud" is refused at the start if it is no http:// address, and port 80 is the default as in net/http.

--- a/internal/buyer/buyer.go
+++ b/internal/buyer/buyer.go
@@ -6,8 +6,9 @@
 //	err := b.Start(ctx, group)
 //
 // An order is first recorded in the replicated state, which assigns the fencing number, then sent to
-// the cloud, then recorded as ended. A new leader sends its own orders with higher numbers. It does not
-// continue orders that a failed leader recorded but did not end; they remain unchanged in the state.
+// the cloud, unless this daemon has lost contact with a quorum, then recorded as ended. A new leader
+// sends its own orders with higher numbers. It does not continue orders that a failed leader recorded but
+// did not end; they remain unchanged in the state.
 package buyer
 
 import (
@@ -17,6 +18,7 @@
 	"github.com/go-logr/logr"
 
 	"swiftbeam/internal/cloud"
+	"swiftbeam/internal/duty"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/quorum"
 	"swiftbeam/internal/roster"
@@ -46,8 +48,9 @@
 	Clock  clock.Clock
 	Store  *store.Store
 	Roster *roster.Roster
-	Cloud  *cloud.Client
-	Log    logr.Logger
+	// Cloud must use the client of package duty, so that no order is sent late.
+	Cloud *cloud.Client
+	Log   logr.Logger
 
 	controls map[string]*scale.Controller
 	pending  []pendingReplica
@@ -209,7 +212,8 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout.Std())
 	defer cancel()
 	b.sequence++
-	operation := fmt.Sprintf("%s/%d/%d", b.Self, b.Store.Status().Term, b.sequence)
+	term := b.Store.Status().Term
+	operation := fmt.Sprintf("%s/%d/%d", b.Self, term, b.sequence)
 	result, err := b.Store.Propose(ctx, state.TakeOrder{Operation: operation, Target: target, Kind: kind, Holder: b.Self})
 	if err != nil {
 		return err
@@ -217,10 +221,19 @@
 	if result.Code != state.Done {
 		return fault.New(fault.Conflict, "order %s was not recorded: %v", operation, result.Code)
 	}
-	callErr := do(ctx, operation, result.Fence)
+	gate := duty.Gate{Clock: b.Clock, Open: func() (clock.Instant, bool) { return b.maySendUntil(term) }}
+	callErr := do(duty.WithGate(ctx, gate), operation, result.Fence)
 	_, err = b.Store.Propose(ctx, state.EndOrder{Operation: operation, Fence: result.Fence, Done: callErr == nil})
 	if callErr != nil {
 		return callErr
 	}
 	return err
 }
+
+// maySendUntil returns the time until which an order that was decided in a term may be sent, and reports whether this daemon still
+// leads then.
+func (b *Buyer) maySendUntil(term uint64) (clock.Instant, bool) {
+	clock.Refresh(b.Clock)
+	status := b.Store.Status()
+	return status.ContactAt.Add(b.Store.Settings.ElectionTimeout / 2), status.Role == quorum.Leader && status.Term == term
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"swiftbeam/internal/canary"
 	"swiftbeam/internal/cloud"
 	"swiftbeam/internal/dial"
+	"swiftbeam/internal/duty"
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/entry"
 	"swiftbeam/internal/group"
@@ -253,8 +254,8 @@
 		client := &cloud.Client{Address: address, HTTP: engine.NewHTTPClient(nil)}
 		d.Runner.Add("cloud", &cloud.NoticeWatcher{Client: client, Clock: d.options.Clock, Roster: d.Roster})
 		d.Runner.Add("buyer", &buyer.Buyer{
-			Self: d.Roster.Self.Holder(), Clock: d.options.Clock, Store: d.Store, Roster: d.Roster, Cloud: client,
-			Log: d.options.Log.WithName("buyer"),
+			Self: d.Roster.Self.Holder(), Clock: d.options.Clock, Store: d.Store, Roster: d.Roster,
+			Cloud: &cloud.Client{Address: address, HTTP: duty.NewClient()}, Log: d.options.Log.WithName("buyer"),
 		})
 	}
 	d.Runner.Add("daemon", joinService{daemon: d})
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"math"
@@ -61,13 +62,16 @@
 // RoundTrip sends a request and returns the response, whose body must be closed.
 func (transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := r.Context()
+	if r.URL.Scheme != "http" {
+		return nil, errors.Mark(errors.Newf("the address of the cloud begins with %q; write http://", r.URL.Scheme), ErrUnsent)
+	}
 	request := r.Clone(ctx)
 	request.Close = true
 	var data bytes.Buffer
 	if err := request.Write(&data); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "encode the call"), ErrUnsent)
 	}
-	c, err := connect(ctx, r.URL.Host)
+	c, err := connect(ctx, net.JoinHostPort(r.URL.Hostname(), cmp.Or(r.URL.Port(), "80")))
 	if err != nil {
 		return nil, errors.Mark(err, ErrUnsent)
 	}
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,3 +202,17 @@
 		}
 	}
 }
+
+// TestCallOverTLSIsNotSent guards against calls that are sent in plain text to an address that requires TLS.
+func TestCallOverTLSIsNotSent(t *testing.T) {
+	calls := atomic.Int64{}
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer s.Close()
+	response, err := NewClient().Get(strings.Replace(s.URL, "http:", "https:", 1))
+	if err == nil {
+		response.Body.Close()
+	}
+	if got := calls.Load(); got > 0 || !errors.Is(err, ErrUnsent) {
+		t.Errorf("got %d calls and error %v, want none and ErrUnsent", got, err)
+	}
+}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -9,6 +9,7 @@
 
 import (
 	"net"
+	"net/url"
 	"os"
 	"path/filepath"
 
@@ -136,6 +137,10 @@
 		o.Fail(`add "listen" with callers, peers and admin`, "no listen addresses")
 	}
 	s.CloudAddress = o.TextOr("cloud", "")
+	if u, err := url.Parse(s.CloudAddress); s.CloudAddress != "" && (err != nil || u.Scheme != "http" || u.Host == "") {
+		n, _ := o.Get("cloud")
+		n.Fail(`write it as in "http://10.0.0.5:80"`, "%q is not the address of a cloud API", s.CloudAddress)
+	}
 }
 
 func address(o *jsonc.Object, name string) string {
