buyer: a cloud over TLS stays possible, without the check before each write

Cause: refused an https:// address of the cloud, which worked before, as the client that checks the right to send before each write speaks plain HTTP only. Who uses one could not start the daemon any more.

Change: such an address is called by the client of before. An address without http:// or https:// is still refused.

No run over TLS with a pause was made.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -241,6 +242,15 @@
 	return list
 }
 
+// orderClient returns the client for orders to the cloud at an address. Over TLS the right to send is checked before the
+// call only, as records are encrypted before they are written.
+func orderClient(address string) *http.Client {
+	if strings.HasPrefix(address, "https:") {
+		return engine.NewHTTPClient(nil)
+	}
+	return duty.NewClient()
+}
+
 func (d *Daemon) registerServices() {
 	d.Runner.Add("net", d.Net)
 	d.Runner.Add("store", d.Store)
@@ -255,7 +265,7 @@
 		d.Runner.Add("cloud", &cloud.NoticeWatcher{Client: client, Clock: d.options.Clock, Roster: d.Roster})
 		d.Runner.Add("buyer", &buyer.Buyer{
 			Self: d.Roster.Self.Holder(), Clock: d.options.Clock, Store: d.Store, Roster: d.Roster,
-			Cloud: &cloud.Client{Address: address, HTTP: duty.NewClient()}, Log: d.options.Log.WithName("buyer"),
+			Cloud: &cloud.Client{Address: address, HTTP: orderClient(address)}, Log: d.options.Log.WithName("buyer"),
 		})
 	}
 	d.Runner.Add("daemon", joinService{daemon: d})
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -137,7 +137,7 @@
 		o.Fail(`add "listen" with callers, peers and admin`, "no listen addresses")
 	}
 	s.CloudAddress = o.TextOr("cloud", "")
-	if u, err := url.Parse(s.CloudAddress); s.CloudAddress != "" && (err != nil || u.Scheme != "http" || u.Host == "") {
+	if u, err := url.Parse(s.CloudAddress); s.CloudAddress != "" && (err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "") {
 		n, _ := o.Get("cloud")
 		n.Fail(`write it as in "http://10.0.0.5:80"`, "%q is not the address of a cloud API", s.CloudAddress)
 	}
