Scale: orders stay within the bounds while ended servers still count as serving

Cause: the first target of a zone is the number of on-demand replicas that are present. Servers that ended without a farewell count as serving for up to 8 s, those that replaced them too, so that a new holder of the duties ordered more on-demand replicas than maxReplicas, and repeated it. A target above lowered bounds stayed as well. Change: targets are held within the bounds in each decision. Measured: TestOrdersStayWithinTheBounds got 18 of at most 8 on-demand replicas before, at most 8 now.

--- a/internal/scale/mix.go
+++ b/internal/scale/mix.go
@@ -83,6 +83,10 @@
 		if m.targets[z.Name] == nil {
 			m.targets[z.Name] = &ZoneTarget{Zone: z.Name, OnDemand: z.OnDemand, Spot: z.Spot}
 		}
+		if w := m.targets[z.Name]; b.Max > 0 {
+			w.OnDemand = min(w.OnDemand, b.Max)
+			w.Spot = min(w.Spot, b.Max-w.OnDemand)
+		}
 	}
 	required = m.recentPeak(now, required)
 	serving := withoutEvacuated(zones)
--- a/internal/scale/mix_test.go
+++ b/internal/scale/mix_test.go
@@ -289,3 +289,17 @@
 		}
 	}
 }
+
+// TestOrdersStayWithinTheBounds guards against orders beyond the bounds while servers that have just ended count as serving.
+func TestOrdersStayWithinTheBounds(t *testing.T) {
+	const required = 10
+	m := Mix{}
+	for i, most := range []int{8, 5} {
+		zones := []Zone{{Name: "a", OnDemand: 18}, {Name: "b"}}
+		for _, z := range m.Decide(clock.Instant(1000*i), required, Bounds{Min: 1, Max: most, SpotPrice: 0.3}, zones) {
+			if got := z.OnDemand + z.Spot; got > most {
+				t.Errorf("zone %s: got %d on-demand and %d spot replicas, want at most %d", z.Zone, z.OnDemand, z.Spot, most)
+			}
+		}
+	}
+}
