quorum: forming a group keeps the vote of its first voters

Cause: Bootstrap set the term to 1. A first voter that forms the group a moment after another one may have voted in term 2 already; it then voted in term 2 a second time, so that two members could lead that term.

Change: Bootstrap does not lower the term.

Measured: TestFormingAGroupKeepsTheVote: votes for two candidates of term 2 before, for one now.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -87,7 +87,8 @@
 // Bootstrap sets the initial membership of an empty member. All initial voters must be given the
 // same list.
 func (c *Raft) Bootstrap(members []Member) {
-	c.Hard.Term = 1
+	// A candidate among the first voters may have asked for a vote already.
+	c.Hard.Term = max(c.Hard.Term, 1)
 	c.markHardChanged()
 	c.append([]Entry{{Index: 1, Term: 1, Kind: Config, Members: members}})
 	c.Commit = 1
--- a/internal/quorum/term_test.go
+++ b/internal/quorum/term_test.go
@@ -51,3 +51,28 @@
 		}
 	}
 }
+
+// TestFormingAGroupKeepsTheVote guards against a second vote in a term by a first voter that is asked before it forms the group.
+func TestFormingAGroupKeepsTheVote(t *testing.T) {
+	members := []Member{{ID: "a", Voter: true}, {ID: "b", Voter: true}, {ID: "c", Voter: true}}
+	c := New(Settings{Self: "c", ElectionTimeout: 600, Heartbeat: 120, Seed: 1}, 0)
+	granted := func(from ID) bool {
+		c.Step(1, Receive{Message: Message{Kind: Vote, From: from, To: "c", Term: 2, Index: 1, LogTerm: 1}})
+		replies := c.Take().Messages
+		if len(replies) != 1 {
+			t.Fatalf("got %d replies to %s, want 1", len(replies), from)
+		}
+		return !replies[0].Reject
+	}
+	if !granted("a") {
+		t.Fatal("got no vote for the first candidate, want one")
+	}
+	c.Bootstrap(members)
+	c.Take()
+	if granted("b") {
+		t.Error("got votes for two candidates of term 2, want one")
+	}
+	if got, want := c.Hard, (HardState{Term: 2, Vote: "a"}); got != want {
+		t.Errorf("got %+v after forming the group, want %+v", got, want)
+	}
+}
