group: a group that did not reach the disk is formed again

Cause: a daemon forms its group once. If that failed on its disk, the store started again from an empty log, and the daemon only asked others to be added: a group of one had no leader as long as the process ran.

Change: the joiner forms the group again while the member has neither a membership nor applied entries.

--- a/internal/core/full_test.go
+++ b/internal/core/full_test.go
@@ -265,3 +265,28 @@
 	}
 	return version
 }
+
+// TestGroupOfOneFormsOnceItsDiskHasRoom guards against a daemon without a group, and so without a leader, for as long as it
+// runs, because its disk was full when it formed the group.
+func TestGroupOfOneFormsOnceItsDiskHasRoom(t *testing.T) {
+	g := prepareCluster(t, 1)
+	// The disk is full from the first record on.
+	log, _, err := disk.Open(g.settings[0].DataFolder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := log.Close(); err != nil {
+		t.Fatal(err)
+	}
+	fail := failCalls("write")
+	g.full[0].failing.Store(&fail)
+	g.start(0)
+	time.Sleep(time.Second)
+	if got := g.cores[0].Store.Status().Failed; got == "" {
+		t.Error("got a usable data folder while the disk is full, want a failed one")
+	}
+	g.full[0].failing.Store(nil)
+	if took, err := g.acknowledge(1, 0); err != nil || took > ackTime {
+		t.Errorf("acknowledged after %v, error %v, want an acknowledgement within %v", took, err, ackTime)
+	}
+}
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -63,10 +63,9 @@
 // Run joins the group, catches up with it, and keeps the daemon a member until ctx ends.
 func (j *Joiner) Run(ctx context.Context) {
 	for ctx.Err() == nil && !j.isMember() {
-		if j.Store.Unjoined() && j.bootstrap(ctx) {
+		if j.enter(ctx) {
 			break
 		}
-		j.join(ctx)
 		runner.Pause(ctx, joinPause)
 	}
 	// The membership in this daemon's own log may be older than its removal, and only members catch up.
@@ -76,8 +75,17 @@
 	catchUp.Wait()
 }
 
+// enter forms the group or requests to join it. It reports whether it formed the group.
+func (j *Joiner) enter(ctx context.Context) bool {
+	if j.Store.Unjoined() && j.bootstrap(ctx) {
+		return true
+	}
+	j.join(ctx)
+	return false
+}
+
 // maintain requests to join again if the group has removed this daemon, for instance during a long
-// network partition, or if contact is lost.
+// network partition, or if contact is lost. It forms the group again if that did not reach the disk.
 func (j *Joiner) maintain(ctx context.Context) {
 	pause := joinPause
 	for ctx.Err() == nil {
@@ -87,7 +95,7 @@
 			pause = joinPause
 			continue
 		}
-		j.join(ctx)
+		j.enter(ctx)
 		pause = min(2*pause, joinTimeout)
 	}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -172,7 +172,8 @@
 
 // Unjoined reports whether the member does not belong to a replication group yet.
 func (s *Store) Unjoined() bool {
-	return s.startedEmpty && len(s.Status().Members) == 0
+	status := s.Status()
+	return s.startedEmpty && len(status.Members) == 0 && status.Applied == 0
 }
 
 // Start runs the member in the background until ctx ends.
