store: a slow data folder is logged

Cause: nothing told why a daemon started or committed late. The core daemon of crowd-no-leader, seen again, wrote no line between its start and the forming of its group 21.6 s later.

Change: opening the data folder, and each sync that takes longer than the election timeout, leave a line with the time that they took.

Measured: TestSlowDiskIsLogged: no line before, one of the opening and one of the first sync now.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -144,9 +144,11 @@
 		if s.OpenDisk == nil {
 			s.OpenDisk = disk.Open
 		}
+		began := s.Clock.Now()
 		if s.log, loaded, err = s.OpenDisk(s.Folder); err != nil {
 			return err
 		}
+		s.logSlowDisk("open", began)
 		identity = loaded.Identity
 	}
 	s.Self.ID = quorum.ID(s.Self.Name + "." + identity)
@@ -400,9 +402,11 @@
 }
 
 func (s *Store) perform(a quorum.Actions) error {
+	began := s.Clock.Now()
 	if err := s.persist(a); err != nil {
 		return err
 	}
+	s.logSlowDisk("sync", began)
 	s.send(a.Messages)
 	if a.Restore != nil {
 		if err := s.restore(a.Restore); err != nil {
@@ -430,6 +434,13 @@
 	return s.log.Sync()
 }
 
+// logSlowDisk logs a call that took longer than the group waits for a member.
+func (s *Store) logSlowDisk(call string, began clock.Instant) {
+	if took := s.Clock.Now().Sub(began); took > s.Settings.ElectionTimeout {
+		s.Log.Info("data folder is slow", "call", call, "tookMs", int64(took))
+	}
+}
+
 func (s *Store) send(messages []quorum.Message) {
 	if len(messages) == 0 {
 		return
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"swiftbeam/internal/disk"
 	"swiftbeam/internal/quorum"
@@ -127,3 +129,34 @@
 		t.Errorf("got a log of %d entries of 100 KB, want at most 8", got)
 	}
 }
+
+// TestSlowDiskIsLogged guards against a daemon that starts or commits late without a trace of its cause.
+func TestSlowDiskIsLogged(t *testing.T) {
+	lines := make(chan string, 100)
+	s := &Store{
+		Settings: quorum.Settings{ElectionTimeout: 60, Heartbeat: 20, Voters: 1, BatchBytes: 1 << 20, Seed: 1},
+		Self:     quorum.Member{Name: "a", Address: "a:1"}, Folder: t.TempDir(), Clock: clock.Start(), Network: noPeers{},
+		Log: funcr.New(func(_, line string) { lines <- line }, funcr.Options{}),
+		OpenDisk: disk.Files{Sync: func(f *os.File) error {
+			time.Sleep(100 * time.Millisecond)
+			return f.Sync()
+		}}.Open,
+	}
+	if err := s.Open(""); err != nil {
+		t.Fatal(err)
+	}
+	s.handle([]quorum.Event{bootstrapEvent{members: []quorum.Member{s.Self}}})
+	if err := s.log.Close(); err != nil {
+		t.Error(err)
+	}
+	close(lines)
+	var got []string
+	for line := range lines {
+		if strings.Contains(line, "data folder is slow") {
+			got = append(got, line)
+		}
+	}
+	if len(got) != 2 || !strings.Contains(got[0], `"call"="open"`) || !strings.Contains(got[1], `"call"="sync"`) {
+		t.Errorf("got lines %q, want one of the opening and one of the first sync", got)
+	}
+}
