--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -16,17 +16,23 @@
 	Leader ID
 	Commit uint64
 
-	log           entryLog
-	members       []Member
-	configIndex   uint64
-	peers         map[ID]*progress
-	votes         map[ID]bool
-	electionAt    clock.Instant
-	heartbeatAt   clock.Instant
-	quorumCheckAt clock.Instant
-	contactAt     clock.Instant
-	// campaignedAt is when this member last requested votes or pre-votes.
-	campaignedAt clock.Instant
+	log         entryLog
+	members     []Member
+	configIndex uint64
+	peers       map[ID]*progress
+	// votes are the members that voted for this one in its term, preVotes those that would in the next. Only the first are on
+	// disk and stay valid as long as the term lasts.
+	votes, preVotes map[ID]bool
+	electionAt      clock.Instant
+	heartbeatAt     clock.Instant
+	quorumCheckAt   clock.Instant
+	contactAt       clock.Instant
+	// requestedAt is when this member last requested votes.
+	requestedAt clock.Instant
+	// awaitsLeader is set while this member has not heard the candidate that it voted for. That one may lead already.
+	awaitsLeader bool
+	// deferred is set once the campaign of this member was postponed for that of another one.
+	deferred bool
 	// now is the instant passed to the last Step.
 	now          clock.Instant
 	noopIndex    uint64
@@ -52,7 +58,7 @@
 // New returns a member with an empty log. It stays a follower until it receives a membership, either
 // from a leader or from Bootstrap.
 func New(s Settings, now clock.Instant) *Raft {
-	c := &Raft{Settings: s, randomState: initialRandomState(s), contactAt: now}
+	c := &Raft{Settings: s, randomState: initialRandomState(s), contactAt: now, now: now}
 	c.resetElection(now)
 	return c
 }
@@ -81,7 +87,8 @@
 // Bootstrap sets the initial membership of an empty member. All initial voters must be given the
 // same list.
 func (c *Raft) Bootstrap(members []Member) {
-	c.Hard.Term = 1
+	// A candidate among the first voters may have asked for a vote already.
+	c.Hard.Term = max(c.Hard.Term, 1)
 	c.markHardChanged()
 	c.append([]Entry{{Index: 1, Term: 1, Kind: Config, Members: members}})
 	c.Commit = 1
@@ -90,6 +97,7 @@
 
 // Step processes one event. The resulting actions accumulate until Take is called.
 func (c *Raft) Step(now clock.Instant, e Event) {
+	c.discountPause(now)
 	c.now = now
 	switch e := e.(type) {
 	case Tick:
@@ -151,6 +159,20 @@
 	}
 }
 
+// discountPause postpones the timers by the time for which this member handled no events, because it was paused or synced a slow
+// disk. What the others sent meanwhile has not been received yet, so that their silence means nothing.
+func (c *Raft) discountPause(now clock.Instant) {
+	pause := now.Sub(c.now) - c.Settings.Heartbeat
+	if pause <= 0 {
+		return
+	}
+	c.electionAt = c.electionAt.Add(pause)
+	c.quorumCheckAt = c.quorumCheckAt.Add(pause)
+	for _, p := range c.peers {
+		p.repliedAt = min(p.repliedAt.Add(pause), now)
+	}
+}
+
 // maxTermStep is the number of elections that a member may have missed. A later term is that of a faulty sender, and
 // after the last one no election is possible.
 const maxTermStep = 1 << 32
@@ -234,6 +256,7 @@
 	}
 	c.Role = Follower
 	c.Leader = leader
+	c.awaitsLeader = false
 	c.transfer = ""
 	c.resetElection(now)
 }
@@ -281,6 +304,7 @@
 func (c *Raft) followLeader(now clock.Instant, leader ID) {
 	c.Role = Follower
 	c.Leader = leader
+	c.awaitsLeader = false
 	c.contactAt = now
 	c.resetElection(now)
 }
