quota: count the lease of a daemon that was cut off and then killed

Cause: when a newer run of a daemon reports, only what its earlier run had been granted and not spent counted as spent. Out of contact with the leader that run may have spent its whole lease.

Change: the end of a run that was out of contact counts its lease.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -317,15 +317,20 @@
 }
 
 // end drops a run that has ended, and keeps what it spent. What was unspent at its last report may have
-// been spent since.
+// been spent since, and the whole lease if the run was out of contact.
 func (al *Allocator) end(now clock.Instant, r *run) {
 	for account, h := range r.holdings {
 		t := al.total(account)
+		unseen, reported := h.unspent, 0.0
 		if h.recent != nil {
 			t.ended.Merge(now, h.recent)
+			reported = h.recent.Sum(now)
 		}
-		t.ended.Add(now, h.unspent)
-		t.recent.Add(now, h.unspent)
+		if r.lost {
+			unseen = max(unseen, h.counted-reported)
+		}
+		t.ended.Add(now, unseen)
+		t.recent.Add(now, unseen)
 	}
 	al.drop(r)
 	r.ended = true
