Revert "quorum: a pause of a member does not count as silence of the others"

On a machine whose processors are used up, nearly every step of a member comes late and counts as a pause, and a lost leader is replaced later.

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -58,7 +58,7 @@
 // New returns a member with an empty log. It stays a follower until it receives a membership, either
 // from a leader or from Bootstrap.
 func New(s Settings, now clock.Instant) *Raft {
-	c := &Raft{Settings: s, randomState: initialRandomState(s), contactAt: now, now: now}
+	c := &Raft{Settings: s, randomState: initialRandomState(s), contactAt: now}
 	c.resetElection(now)
 	return c
 }
@@ -97,7 +97,6 @@
 
 // Step processes one event. The resulting actions accumulate until Take is called.
 func (c *Raft) Step(now clock.Instant, e Event) {
-	c.discountPause(now)
 	c.now = now
 	switch e := e.(type) {
 	case Tick:
@@ -159,20 +158,6 @@
 	}
 }
 
-// discountPause postpones the timers by the time for which this member handled no events, because it was paused or synced a slow
-// disk. What the others sent meanwhile has not been received yet, so that their silence means nothing.
-func (c *Raft) discountPause(now clock.Instant) {
-	pause := now.Sub(c.now) - c.Settings.Heartbeat
-	if pause <= 0 {
-		return
-	}
-	c.electionAt = c.electionAt.Add(pause)
-	c.quorumCheckAt = c.quorumCheckAt.Add(pause)
-	for _, p := range c.peers {
-		p.repliedAt = min(p.repliedAt.Add(pause), now)
-	}
-}
-
 // maxTermStep is the number of elections that a member may have missed. A later term is that of a faulty sender, and
 // after the last one no election is possible.
 const maxTermStep = 1 << 32
