--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -45,13 +45,12 @@
 // maxHeadBytes bounds the head of a response.
 const maxHeadBytes = 64 << 10
 
-// NewClient returns an HTTP client for calls that must not arrive late. The gate of a call's context and its deadline are
-// checked again before each system call that sends a part of it, and the call needs as long to arrive as its connection took to
-// open. Its connection is reset when the context ends, and the kernel gives up at the deadline, also while the process is
-// paused. Redirects are not followed.
+// NewClient returns a client for plain HTTP calls that must not arrive late. A call's gate and deadline are checked again before each
+// system call that sends a part of it, and the kernel gives up at the deadline, also while the process is paused.
 func NewClient() *http.Client {
 	return &http.Client{
-		Transport:     transport{},
+		Transport: transport{},
+		// A redirected call could be late, though the first one has arrived.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
