quota: each new leader takes over the runs that hold a large part of a quota

Cause: a new leader knew what was spent from reports only. If an entry daemon was killed, cut off or frozen together with the leader, its spending was assumed by the mean of the others, or not at all, and granted again.

Change: the record of an account names the runs that hold a large part of the limit, with their spending by parts of the window, what they may be granted until the next record, and their lease. A new leader commits a record of its term, after which those of its predecessors are stale, and takes the runs over as out of contact. A grant beyond the record is cut; a request that is then not covered waits for the record, of which there are at most ten a second.

--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -40,8 +40,10 @@
 	totals    sharedLoads
 	pacer     pace.Pacer
 	allocator quota.Allocator
-	usageSums usage.Aggregator
-	tenure    duty.Tenure
+	// inheritedSpending is set once the leader has taken over what was recorded of spending.
+	inheritedSpending bool
+	usageSums         usage.Aggregator
+	tenure            duty.Tenure
 	// tenureTerm is the term of the leadership in which the duties were acquired. Other daemons may have held them
 	// between two leaderships.
 	tenureTerm     uint64
@@ -77,19 +79,21 @@
 	// have its predecessor's record of grants and orders, so it starts with an empty state.
 	if term := c.Store.Status().Term; d.term != term {
 		d.lead(term, quota.Allocator{
-			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now,
+			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now, RequireRecords: true,
 			SpendingUnknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
 		})
-		if d.allocator.SpendingUnknown {
-			c.restoreSpending(now)
-		}
+		c.requestRecord()
+	}
+	reply := c.receiveReport(now, r.Msg)
+	if d.allocator.RecordNeeded {
+		c.requestRecord()
 	}
-	return connect.NewResponse(c.receiveReport(now, r.Msg)), nil
+	return connect.NewResponse(reply), nil
 }
 
 // lead resets the state at the start of a leadership.
 func (d *dutyState) lead(term uint64, allocator quota.Allocator) {
-	d.term, d.allocator = term, allocator
+	d.term, d.allocator, d.inheritedSpending = term, allocator, false
 	d.loads, d.totals = loads.Sums{}, sharedLoads{}
 	d.services, d.reportedCounts = nil, nil
 	d.evidence = moves.Aggregator{}
