--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -16,23 +16,17 @@
 	Leader ID
 	Commit uint64
 
-	log         entryLog
-	members     []Member
-	configIndex uint64
-	peers       map[ID]*progress
-	// votes are the members that voted for this one in its term, preVotes those that would in the next. Only the first are on
-	// disk and stay valid as long as the term lasts.
-	votes, preVotes map[ID]bool
-	electionAt      clock.Instant
-	heartbeatAt     clock.Instant
-	quorumCheckAt   clock.Instant
-	contactAt       clock.Instant
-	// requestedAt is when this member last requested votes.
-	requestedAt clock.Instant
-	// awaitsLeader is set while this member has not heard the candidate that it voted for. That one may lead already.
-	awaitsLeader bool
-	// deferred is set once the campaign of this member was postponed for that of another one.
-	deferred bool
+	log           entryLog
+	members       []Member
+	configIndex   uint64
+	peers         map[ID]*progress
+	votes         map[ID]bool
+	electionAt    clock.Instant
+	heartbeatAt   clock.Instant
+	quorumCheckAt clock.Instant
+	contactAt     clock.Instant
+	// campaignedAt is when this member last requested votes or pre-votes.
+	campaignedAt clock.Instant
 	// now is the instant passed to the last Step.
 	now          clock.Instant
 	noopIndex    uint64
@@ -240,7 +234,6 @@
 	}
 	c.Role = Follower
 	c.Leader = leader
-	c.awaitsLeader = false
 	c.transfer = ""
 	c.resetElection(now)
 }
@@ -288,7 +281,6 @@
 func (c *Raft) followLeader(now clock.Instant, leader ID) {
 	c.Role = Follower
 	c.Leader = leader
-	c.awaitsLeader = false
 	c.contactAt = now
 	c.resetElection(now)
 }
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -6,20 +6,17 @@
 func (c *Raft) campaign(now clock.Instant, role Role) {
 	c.Role = role
 	c.Leader = ""
-	c.awaitsLeader = false
-	c.deferred = false
+	c.campaignedAt = now
+	c.votes = map[ID]bool{c.Settings.Self: true}
 	// Retry a lost election sooner than the timeout for an unresponsive leader.
 	c.electionAt = now.Add(c.Settings.ElectionTimeout/3 + c.randomDuration(2*c.Settings.ElectionTimeout/3))
-	own := map[ID]bool{c.Settings.Self: true}
 	kind, term := PreVote, c.Hard.Term+1
 	if role == Candidate {
 		c.Hard = HardState{Term: term, Vote: c.Settings.Self}
 		c.markHardChanged()
-		kind, c.votes, c.requestedAt = Vote, own, now
-	} else {
-		c.preVotes = own
+		kind = Vote
 	}
-	if c.isMajority(own) {
+	if c.wonElection() {
 		c.advanceCandidate(now)
 		return
 	}
@@ -41,13 +38,9 @@
 	switch {
 	case !c.upToDate(m):
 	case m.Kind == PreVote:
-		reply.Reject = m.Term <= c.Hard.Term || c.leaderIsAlive(now) || c.awaitsLeader && now.Before(c.electionAt)
-		if !reply.Reject {
-			c.deferCampaign(now)
-		}
+		reply.Reject = m.Term <= c.Hard.Term || c.leaderIsAlive(now)
 	case c.Hard.Vote == "" || c.Hard.Vote == m.From:
 		c.Hard.Vote = m.From
-		c.awaitsLeader = true
 		c.markHardChanged()
 		c.resetElection(now)
 		reply.Reject = false
@@ -58,15 +51,6 @@
 	c.send(reply)
 }
 
-// deferCampaign gives the candidate that this member has granted a pre-vote an election timeout, so that the two do not split
-// the votes. A member whose requests arrive but that gets no replies must not keep the others waiting, so this happens once.
-func (c *Raft) deferCampaign(now clock.Instant) {
-	if c.Role == Follower && !c.deferred {
-		c.deferred = true
-		c.resetElection(now)
-	}
-}
-
 // upToDate reports whether the candidate's log is at least as up to date as this member's log: it has
 // a later last term, or the same last term and no smaller last index.
 func (c *Raft) upToDate(m Message) bool {
@@ -78,40 +62,26 @@
 }
 
 func (c *Raft) onVoteReply(now clock.Instant, m Message) {
-	if m.Reject || c.Role != PreCandidate && c.Role != Candidate {
-		return
-	}
-	if m.Kind == PreVoteReply {
-		c.onPreVoteGranted(now, m)
+	wantKind := VoteReply
+	if c.Role == PreCandidate {
+		wantKind = PreVoteReply
+	} else if c.Role != Candidate {
 		return
 	}
-	// A vote also counts after the member has begun to request pre-votes for the next term: with a slow disk or network,
-	// votes take longer than the timer.
-	if c.Hard.Vote != c.Settings.Self || c.votes == nil {
+	if m.Kind != wantKind || m.Reject {
 		return
 	}
 	c.votes[m.From] = true
-	if c.isMajority(c.votes) {
-		c.lead(now)
-	}
-}
-
-func (c *Raft) onPreVoteGranted(now clock.Instant, m Message) {
-	// One for an earlier term says nothing about the next.
-	if c.Role != PreCandidate || m.Term != c.Hard.Term+1 {
-		return
-	}
-	c.preVotes[m.From] = true
-	if c.isMajority(c.preVotes) {
-		c.campaign(now, Candidate)
+	if c.wonElection() {
+		c.advanceCandidate(now)
 	}
 }
 
-func (c *Raft) isMajority(votes map[ID]bool) bool {
+func (c *Raft) wonElection() bool {
 	voters := c.voters()
 	granted := 0
 	for _, id := range voters {
-		if votes[id] {
+		if c.votes[id] {
 			granted++
 		}
 	}
@@ -123,16 +93,9 @@
 		c.campaign(now, Candidate)
 		return
 	}
-	c.lead(now)
-}
-
-// lead makes this member the leader of its term.
-func (c *Raft) lead(now clock.Instant) {
 	c.Role = Leader
 	c.Leader = c.Settings.Self
 	c.transfer = ""
-	// Votes that arrive after this member has stepped down do not make it the leader again.
-	c.votes = nil
 	c.peers = make(map[ID]*progress)
 	c.quorumCheckAt = now.Add(c.Settings.ElectionTimeout)
 	c.heartbeatAt = now
@@ -140,7 +103,7 @@
 	c.trackPeers()
 	for _, p := range c.peers {
 		// The replies may have been queued while the process was paused.
-		p.ackedSentAt = c.requestedAt
+		p.ackedSentAt = c.campaignedAt
 	}
 	c.noopIndex = c.log.last() + 1
 	c.heartbeatDue = true
