--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -122,8 +122,6 @@
 	// departuresRefused counts the departures that could not be recorded.
 	departuresRefused atomic.Int64
 	calls             callCounts
-	// recordNeeded requests a record of spending before its interval has passed.
-	recordNeeded chan struct{}
 
 	mu sync.Mutex
 	// notified is the state that followers were last notified of.
@@ -148,7 +146,7 @@
 	if o.Limits == nil {
 		o.Limits = intake.FromMachine(s.MemoryBytes)
 	}
-	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool), withoutStart: make(map[string]clock.Instant), departures: ring.New[departure](maxDepartureBatch), recordNeeded: make(chan struct{}, 1)}
+	c := &Core{Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), announcedDirectly: make(map[string]bool), withoutStart: make(map[string]clock.Instant), departures: ring.New[departure](maxDepartureBatch)}
 	c.started = c.clock.Now()
 	c.duties.tenure.Start(c.started, c.dutySettings())
 	c.SetSeeds(s.Seeds)
@@ -253,7 +251,7 @@
 	c.tasks.Go(func() { c.watchState(ctx) })
 	c.tasks.Go(func() { c.commitDepartures(ctx) })
 	c.tasks.Go(func() { c.crashes.Run(ctx) })
-	c.tasks.Go(func() { c.runRecords(ctx) })
+	c.tasks.Go(func() { runner.Every(ctx, spendingInterval, func() { c.recordSpending(ctx) }) })
 	c.tasks.Go(func() { runner.Every(ctx, expireInterval, c.expire) })
 	c.tasks.Go(func() { c.watchProcessor(ctx) })
 	c.tasks.Go(func() { runner.Every(ctx, dutyInterval, func() { c.performDuties(ctx) }) })
--- a/internal/core/spending.go
+++ b/internal/core/spending.go
@@ -2,72 +2,23 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"time"
 
-	"swiftbeam/internal/fault"
 	"swiftbeam/internal/quota"
-	"swiftbeam/internal/runner"
 	"swiftbeam/internal/state"
 	"swiftbeam/pkg/clock"
 )
 
-// spendingInterval is the minimum time between two records of what accounts have spent, and the interval at which the leader
-// checks whether one is due.
+// spendingInterval is the interval at which the leader checks whether what accounts have spent is to be recorded.
 const spendingInterval = 100 * clock.Millisecond
 
-// requestRecord requests a record of spending without delay.
-func (c *Core) requestRecord() {
-	select {
-	case c.recordNeeded <- struct{}{}:
-	default:
-	}
-}
-
-// runRecords records what accounts have spent, as the leader and the entry daemons that know it may be lost together.
-func (c *Core) runRecords(ctx context.Context) {
-	ticker := time.NewTicker(spendingInterval.Std())
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		case <-c.recordNeeded:
-		}
-		recorded, err := c.recordSpending(ctx)
-		if err != nil {
-			c.log.Info("could not record what accounts have spent", "error", err.Error())
-		}
-		if recorded {
-			runner.Pause(ctx, spendingInterval)
-		}
-	}
-}
-
-// recordSpending commits what accounts have spent of their quotas, and reports whether there was anything to commit. A new
-// leader first takes over what was recorded.
-func (c *Core) recordSpending(ctx context.Context) (bool, error) {
+// recordSpending commits what accounts have spent of their quotas, as the leader and the entry daemons that know it may be
+// lost together.
+func (c *Core) recordSpending(ctx context.Context) {
 	set := c.ruleSet.Load()
-	if set == nil || !c.isLeader() {
-		return false, nil
-	}
-	term := c.Store.Status().Term
-	c.mu.Lock()
-	current, inherited := c.duties.term == term, c.duties.inheritedSpending
-	c.mu.Unlock()
-	if !current {
-		return false, nil
-	}
-	if !inherited {
-		// Once this record is committed, all earlier ones are applied, and later ones of earlier leaders are stale.
-		if err := c.proposeSpending(ctx, state.RecordSpending{Term: term}); err != nil {
-			return true, err
-		}
-		c.inheritSpending(term)
-		return true, nil
+	if set == nil || !c.isLeader() || c.draining.Load() {
+		return
 	}
-	now, clusterTime := c.clock.Now(), c.Follower.ClusterTime()
+	now, clusterTime, term := c.clock.Now(), c.Follower.ClusterTime(), c.Store.Status().Term
 	c.mu.Lock()
 	var due []quota.Record
 	if c.duties.term == term {
@@ -75,42 +26,30 @@
 	}
 	c.mu.Unlock()
 	if len(due) == 0 {
-		return false, nil
+		return
 	}
-	if err := c.proposeSpending(ctx, state.RecordSpending{Term: term, Records: due}); err != nil {
-		return true, err
+	if _, err := c.propose(ctx, state.RecordSpending{Records: due}); err != nil {
+		c.log.Info("could not record what accounts have spent", "accounts", len(due), "error", err.Error())
+		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.duties.term == term {
 		c.duties.allocator.Recorded(due)
 	}
-	return true, nil
-}
-
-func (c *Core) proposeSpending(ctx context.Context, body state.RecordSpending) error {
-	result, err := c.propose(ctx, body)
-	if err == nil && result.Code != state.Done {
-		return fault.New(fault.Unavailable, "spending was not recorded: %s", result.Detail).Remedy("none; the present leader records it")
-	}
-	return err
 }
 
-// inheritSpending takes over what earlier leaders recorded.
-func (c *Core) inheritSpending(term uint64) {
-	now, clusterTime := c.clock.Now(), c.Follower.ClusterTime()
+// restoreSpending takes over what was recorded before this process was restarted. The caller holds the lock.
+func (c *Core) restoreSpending(now clock.Instant) {
+	clusterTime := c.Follower.ClusterTime()
 	var records []quota.Record
-	c.Store.View(func(s *state.State) { records = slices.Collect(maps.Values(s.Spending)) })
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.duties.term != term {
-		return
-	}
-	al := &c.duties.allocator
-	if al.SpendingUnknown {
-		al.Restore(now, clusterTime, records)
+	c.Store.View(func(s *state.State) {
+		for _, r := range s.Spending {
+			records = append(records, r)
+		}
+	})
+	c.duties.allocator.Restore(now, clusterTime, records)
+	for _, r := range records {
+		c.log.Info("record of spending restored", "account", r.Account, "ageMs", int64(clusterTime.Sub(r.At)))
 	}
-	al.Inherit(now, clusterTime, records)
-	c.duties.inheritedSpending = true
-	c.log.Info("records of spending taken over", "term", term, "accounts", len(records), "sumsOnly", al.SpendingUnknown, "ms", int64(now.Sub(al.StartedAt)))
 }
--- a/internal/core/tally.go
+++ b/internal/core/tally.go
@@ -40,10 +40,8 @@
 	totals    sharedLoads
 	pacer     pace.Pacer
 	allocator quota.Allocator
-	// inheritedSpending is set once the leader has taken over what was recorded of spending.
-	inheritedSpending bool
-	usageSums         usage.Aggregator
-	tenure            duty.Tenure
+	usageSums usage.Aggregator
+	tenure    duty.Tenure
 	// tenureTerm is the term of the leadership in which the duties were acquired. Other daemons may have held them
 	// between two leaderships.
 	tenureTerm     uint64
@@ -79,21 +77,19 @@
 	// have its predecessor's record of grants and orders, so it starts with an empty state.
 	if term := c.Store.Status().Term; d.term != term {
 		d.lead(term, quota.Allocator{
-			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now, RequireRecords: true,
+			Bounds: quota.Bounds(c.Settings.Quota), StartedAt: now,
 			SpendingUnknown: !c.Settings.Found && now.Sub(c.started) < c.Settings.Quota.Window,
 		})
-		c.requestRecord()
-	}
-	reply := c.receiveReport(now, r.Msg)
-	if d.allocator.RecordNeeded {
-		c.requestRecord()
+		if d.allocator.SpendingUnknown {
+			c.restoreSpending(now)
+		}
 	}
-	return connect.NewResponse(reply), nil
+	return connect.NewResponse(c.receiveReport(now, r.Msg)), nil
 }
 
 // lead resets the state at the start of a leadership.
 func (d *dutyState) lead(term uint64, allocator quota.Allocator) {
-	d.term, d.allocator, d.inheritedSpending = term, allocator, false
+	d.term, d.allocator = term, allocator
 	d.loads, d.totals = loads.Sums{}, sharedLoads{}
 	d.services, d.reportedCounts = nil, nil
 	d.evidence = moves.Aggregator{}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -22,14 +22,8 @@
 	// SpendingUnknown is set on a leader whose process was restarted less than a window before, so that
 	// the entry daemons may have been restarted too.
 	SpendingUnknown bool
-	// RequireRecords is set where records are kept for the next leader. There are then no grants before Inherit, and none
-	// that exceed what the record of a run allows.
-	RequireRecords bool
-	// RecordNeeded is set when a grant had to be cut until the next record.
-	RecordNeeded bool
 
-	inherited bool
-	totals    map[string]*totals
+	totals map[string]*totals
 	// runs contains the runs of daemons by NAME/BOOT, latest the last run of each daemon by name, which
 	// may have ended.
 	runs   map[string]*run
@@ -78,7 +72,6 @@
 	recordedAt clock.Instant
 	survived   float64
 	survivedAt float64
-	runs       runRecords
 }
 
 // run is the record of one run of an entry daemon.
@@ -89,11 +82,9 @@
 	lost       bool
 	// ended is set after the run's last report, or when a later run has reported. Reports that arrive
 	// later are ignored.
-	ended bool
-	// inherited is set on a run that is only known from the records of an earlier leader.
-	inherited bool
-	holdings  map[string]*holding
-	element   *list.Element
+	ended    bool
+	holdings map[string]*holding
+	element  *list.Element
 }
 
 // holding is the part of one account at one run: its last report, and its lease.
@@ -111,20 +102,17 @@
 	reportedSpent float64
 	counted       float64
 	exposure      float64
-	bound         bound
 }
 
-// Grant processes a report and returns the grants for it; none while a new leader collects reports, or if a request has to
-// wait for a record.
+// Grant processes a report and returns the grants for it; none while a new leader collects reports.
 func (al *Allocator) Grant(now clock.Instant, set *rules.Set, report Report) []Grant {
 	al.expire(now)
 	r := al.receive(now, report)
 	if r.ended {
 		return nil
 	}
-	collecting := !al.SpendingUnknown && now.Sub(al.StartedAt) < collectTime || al.RequireRecords && !al.inherited
+	collecting := !al.SpendingUnknown && now.Sub(al.StartedAt) < collectTime
 	var grants []Grant
-	waits := false
 	for i := range report.Uses {
 		u := &report.Uses[i]
 		a := set.Account(u.Account)
@@ -146,17 +134,11 @@
 		if collecting || report.Last {
 			continue
 		}
-		g, ok := al.grant(now, r, h, u, a, report.SinceLast)
-		waits = waits || !ok
-		grants = append(grants, g)
+		grants = append(grants, al.grant(now, r, h, u, a, report.SinceLast))
 	}
 	if report.Last {
 		al.end(now, r)
 	}
-	if waits {
-		// A reply with grants would end the wait of the request. The next report returns the other grants.
-		return nil
-	}
 	return grants
 }
 
@@ -178,8 +160,8 @@
 	h.spent, h.unspent, h.lease, h.total = u.Spent, u.Unspent.Sum(), u.Lease, u.Total
 }
 
-// grant grants a part of one account and computes the lease. It reports false if a request has to wait for a record.
-func (al *Allocator) grant(now clock.Instant, r *run, h *holding, u *Use, a *rules.Account, sinceLast clock.Duration) (Grant, bool) {
+// grant grants a part of one account and computes the lease.
+func (al *Allocator) grant(now clock.Instant, r *run, h *holding, u *Use, a *rules.Account, sinceLast clock.Duration) Grant {
 	t := al.total(a.Name)
 	limit := Limit(al.Bounds, a)
 	past := t.recordedUnknown(now, al.Bounds.Window)
@@ -191,10 +173,8 @@
 		}
 	}
 	daemons := max(al.ExpectedDaemons, t.holders, 1)
-	earlier := t.runs.ended.Sum(now)
-	ended := t.ended.Sum(now) + past + earlier
-	// What is known of runs that ended under earlier leaders replaces what is assumed of them.
-	remaining := limit - ended - t.counted - max(al.unreported(now, t, limit)-earlier, 0)
+	ended := t.ended.Sum(now) + past
+	remaining := limit - ended - t.counted - al.unreported(now, t, limit)
 	// Leases of other daemons are reserved: they may use them while this daemon uses its grants.
 	available := min(remaining, limit-ended-(t.exposure-h.exposure)-h.counted)
 	g := Grant{Account: a.Name, Scarce: remaining < scarceFraction*limit}
@@ -203,8 +183,6 @@
 		ahead = aheadFraction * remaining / float64(daemons)
 	}
 	g.Quantity = grantByLevel(u, available, limit, ahead, sinceLast)
-	covered := !al.RequireRecords || h.cut(&g.Quantity, u, limit)
-	al.RecordNeeded = al.RecordNeeded || !covered
 	h.unspent += g.Quantity.Sum()
 	even := evenFraction * limit / float64(daemons)
 	part := (h.spent + even) / (t.spent + evenFraction*limit)
@@ -213,13 +191,9 @@
 	rest *= min(rest/(scarceFraction*limit), 1)
 	g.Lease = h.spent + h.unspent + leaseFraction*rest*part
 	g.Lease = max(min(g.Lease, limit-ended-(t.exposure-h.exposure)), 0)
-	if al.RequireRecords {
-		g.Lease = h.cutLease(g.Lease, limit)
-		t.runs.watch(r, h, limit)
-	}
 	h.lease = max(h.lease, g.Lease)
 	al.update(t, r, h)
-	return g, covered
+	return g
 }
 
 // grantByLevel grants what is available, the urgent levels first: what was requested since the last
@@ -251,15 +225,12 @@
 	}
 	missing := float64(max(al.ExpectedDaemons-t.holders, 0))
 	if !al.SpendingUnknown {
-		missing += al.unknownRuns(now) * (1 - float64(t.runs.replaced)/float64(max(len(al.restarted), 1)))
+		missing += al.unknownRuns(now)
 	}
 	// A missing run is assumed to have spent up to twice as much as the others did on average.
 	equal := limit / float64(al.ExpectedDaemons)
 	others := t.spent / float64(max(t.holders-len(al.restarted), 1))
 	each := min(unreportedFactor*equal, max(unreportedOthers*others, unreportedMinimum*equal))
-	if al.inherited {
-		each = min(each, largeRun*limit)
-	}
 	return each * min(missing, float64(al.ExpectedDaemons))
 }
 
@@ -281,7 +252,6 @@
 	t := al.totals[account]
 	if t == nil {
 		t = &totals{ended: window.Sliding{Span: al.Bounds.Window}, recent: window.Sliding{Span: al.Bounds.Window}}
-		t.runs.ended.Span = al.Bounds.Window
 		if al.totals == nil {
 			al.totals = make(map[string]*totals)
 		}
@@ -303,17 +273,17 @@
 		if al.runs == nil {
 			al.runs, al.latest = make(map[string]*run), make(map[string]*run)
 		}
-		earlier := al.latest[daemon]
-		if earlier != nil && !earlier.ended {
-			al.end(now, earlier)
-		}
-		if (earlier == nil || earlier.inherited) && report.SinceRestart > 0 && report.SinceRestart < al.Bounds.Window {
+		if earlier := al.latest[daemon]; earlier != nil {
+			if !earlier.ended {
+				al.end(now, earlier)
+			}
+		} else if report.SinceRestart > 0 && report.SinceRestart < al.Bounds.Window {
 			al.restarted = append(al.restarted, now.Add(-report.SinceRestart))
 		}
 		al.runs[name], al.latest[daemon] = r, r
 		r.element = al.connected.PushBack(r)
 	}
-	r.reportedAt, r.inherited = now, false
+	r.reportedAt = now
 	if r.lost {
 		r.lost = false
 		al.lost.Remove(r.element)
@@ -359,9 +329,6 @@
 		if r.lost {
 			unseen = max(unseen, h.counted-reported)
 		}
-		if r.inherited {
-			t.runs.replaced++
-		}
 		t.ended.Add(now, unseen)
 		t.recent.Add(now, unseen)
 	}
@@ -381,7 +348,6 @@
 		t.spent -= h.reportedSpent
 		t.counted -= h.counted
 		t.exposure -= h.exposure
-		t.runs.drop(r, h)
 		if t.holders--; t.holders == 0 {
 			t.spent, t.counted, t.exposure = 0, 0, 0
 		}
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -27,9 +27,6 @@
 	At clock.Instant
 	// Spent is what was spent, or granted and not spent yet, in each part of the window before At, the latest first.
 	Spent []float64
-	// Runs are the runs of entry daemons that hold a large part of the limit, Ended what ended runs had spent.
-	Runs  []RunRecord
-	Ended []float64
 
 	unrecorded float64
 	unspent    float64
@@ -43,7 +40,6 @@
 
 // Due returns records of the accounts that have spent much since the last one. Call Recorded with those that were stored.
 func (al *Allocator) Due(now, clusterTime clock.Instant, set *rules.Set) []Record {
-	al.RecordNeeded = false
 	var due []Record
 	for name, t := range al.totals {
 		a := set.Account(name)
@@ -51,18 +47,12 @@
 			continue
 		}
 		limit, unspent := Limit(al.Bounds, a), max(t.counted-t.spent, 0)
-		spentMuch := t.unrecorded+max(unspent-t.recordedUnspent, 0) >= recordStep*limit && t.counted+t.ended.Sum(now) >= recordFrom*limit
-		if !spentMuch && !t.runs.isDue(now, limit) {
+		if t.unrecorded+max(unspent-t.recordedUnspent, 0) < recordStep*limit || t.counted+t.ended.Sum(now) < recordFrom*limit {
 			continue
 		}
 		spent := t.recent.Parts(now)
 		spent[0] += unspent
-		ended := t.ended
-		ended.Merge(now, &t.runs.ended)
-		due = append(due, Record{
-			Account: name, At: clusterTime, Spent: spent, Runs: t.runs.take(now, limit), Ended: ended.Parts(now),
-			unrecorded: t.unrecorded, unspent: unspent,
-		})
+		due = append(due, Record{Account: name, At: clusterTime, Spent: spent, unrecorded: t.unrecorded, unspent: unspent})
 	}
 	slices.SortFunc(due, func(a, b Record) int { return strings.Compare(a.Account, b.Account) })
 	return due
@@ -73,7 +63,6 @@
 	for i := range records {
 		t := al.total(records[i].Account)
 		t.unrecorded, t.recordedUnspent = max(t.unrecorded-records[i].unrecorded, 0), records[i].unspent
-		al.runsRecorded(&records[i])
 	}
 }
 
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -2,22 +2,18 @@
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 
 	"swiftbeam/pkg/clock"
 )
 
-// site simulates entry daemons whose leader is lost with some of them. Records survive.
+// site simulates entry daemons whose leader is lost with some of them.
 type site struct {
 	deployment
 	random  *rand.Rand
 	daemons []*daemonAt
 	leads   bool
-	// unconfirmed are stored records that the leader has not been told of yet.
-	unconfirmed []Record
 }
 
 // daemonAt is an entry daemon: its run, when it works again and when it is in contact again, and its part of the requests.
@@ -32,7 +28,6 @@
 
 func newSite(seed uint64, entries int) *site {
 	s := &site{deployment: *newDeployment(entries), random: rand.New(rand.NewPCG(seed, 7)), leads: true}
-	s.stored = make(map[string]Record)
 	sum := 0.0
 	for range entries {
 		d := &daemonAt{part: s.random.ExpFloat64()}
@@ -54,23 +49,7 @@
 // takeOver begins the leadership of another process.
 func (s *site) takeOver() {
 	s.leads = true
-	s.allocator = Allocator{Bounds: s.allocator.Bounds, StartedAt: s.now, ExpectedDaemons: len(s.daemons), RequireRecords: true}
-	s.unconfirmed = nil
-	s.allocator.Inherit(s.now, s.now, slices.Collect(maps.Values(s.stored)))
-}
-
-// record stores what is due each tenth of a second. The leader learns that a step later.
-func (s *site) record(n int) {
-	s.allocator.Recorded(s.unconfirmed)
-	s.unconfirmed = nil
-	if n%2 > 0 {
-		return
-	}
-	s.unconfirmed = s.allocator.Due(s.now, s.now, s.set)
-	for _, r := range s.unconfirmed {
-		s.stored[r.Account] = r
-		s.recordings++
-	}
+	s.allocator = Allocator{Bounds: s.allocator.Bounds, StartedAt: s.now, ExpectedDaemons: len(s.daemons)}
 }
 
 func (s *site) exchange(i int, since clock.Duration) {
@@ -94,9 +73,6 @@
 // step simulates 50 ms in which requests arrive at the given rate per second. It returns how many, and how many were served.
 func (s *site) step(n int, rate float64) (sent, served int) {
 	s.now += 50
-	if s.leads {
-		s.record(n)
-	}
 	for i, d := range s.daemons {
 		if s.now.Before(d.downUntil) || s.now.Before(d.frozenUntil) {
 			continue
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -108,10 +108,8 @@
 	Evidence crash.Evidence
 }
 
-// RecordSpending replaces the records of what accounts have spent. It is stale once a leader of a higher term has sent one.
+// RecordSpending replaces the records of what accounts have spent.
 type RecordSpending struct {
-	// Term is the term of the leader; zero if its build sends none.
-	Term    uint64
 	Records []quota.Record
 }
 
@@ -163,8 +161,6 @@
 	Crashes crash.Table
 	// Spending is the last record of what each account has spent of its quota.
 	Spending map[string]quota.Record
-	// SpendingTerm is the highest term of a leader that recorded spending.
-	SpendingTerm uint64
 	// Evacuations are the availability zones that are evacuated or were, by name.
 	Evacuations map[string]Evacuation
 	// Departures are the departures of backend servers, by the ID of the server. DepartureRevision is the last
@@ -214,7 +210,7 @@
 		s.Crashes.Apply(b.At, &b.Evidence)
 		return Result{Version: s.Crashes.Revision}
 	case RecordSpending:
-		return s.recordSpending(b)
+		s.recordSpending(b.Records)
 	case EvacuateZone:
 		return s.setEvacuation(Evacuation{Zone: b.Zone, Evacuated: true, Since: b.At, By: b.By}, b.Seen)
 	case ReturnZone:
@@ -226,18 +222,13 @@
 }
 
 // recordSpending replaces the records of accounts, and drops those that are much older.
-func (s *State) recordSpending(b RecordSpending) Result {
-	if b.Term > 0 && b.Term < s.SpendingTerm {
-		return Result{Code: Stale, Detail: "a later leader has recorded spending"}
-	}
-	s.SpendingTerm = max(s.SpendingTerm, b.Term)
+func (s *State) recordSpending(records []quota.Record) {
 	latest := clock.Instant(0)
-	for _, r := range b.Records {
+	for _, r := range records {
 		s.Spending[r.Account] = r
 		latest = max(latest, r.At)
 	}
 	maps.DeleteFunc(s.Spending, func(_ string, r quota.Record) bool { return latest.Sub(r.At) > spendingRetention })
-	return Result{}
 }
 
 // Skip marks a log entry without a command as applied.
--- a/internal/window/window.go
+++ b/internal/window/window.go
@@ -27,19 +27,6 @@
 	w.sums[w.last%(buckets+1)] += quantity
 }
 
-// AddParts adds what Parts returned at the instant at.
-func (w *Sliding) AddParts(now, at clock.Instant, parts []float64) {
-	w.advance(now)
-	length := max(int64(w.Span)/buckets, 1)
-	for i, quantity := range parts {
-		// No part counts as later than now or leaves the window before it should.
-		bucket := min(int64(at)/length-int64(max(i-1, 0)), w.last)
-		if w.last-bucket <= buckets {
-			w.sums[bucket%(buckets+1)] += quantity
-		}
-	}
-}
-
 // Sum returns the sum of what was added in the span before now.
 func (w *Sliding) Sum(now clock.Instant) float64 {
 	w.advance(now)
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -55,7 +55,7 @@
 	case state.RecordCrashes:
 		m.Body = &peerpb.Command_RecordCrashes{RecordCrashes: &peerpb.RecordCrashes{At: int64(b.At), Evidence: EvidenceToPB(&b.Evidence)}}
 	case state.RecordSpending:
-		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Term: b.Term, Records: spendingToPB(b.Records)}}
+		m.Body = &peerpb.Command_RecordSpending{RecordSpending: &peerpb.RecordSpending{Records: spendingToPB(b.Records)}}
 	case state.EvacuateZone:
 		m.Body = &peerpb.Command_EvacuateZone{EvacuateZone: &peerpb.EvacuateZone{Zone: b.Zone, By: b.By, At: int64(b.At), Seen: (*int64)(b.Seen)}}
 	case state.ReturnZone:
@@ -120,7 +120,7 @@
 	case *peerpb.Command_RecordCrashes:
 		c.Body = state.RecordCrashes{At: clock.Instant(b.RecordCrashes.GetAt()), Evidence: EvidenceFromPB(b.RecordCrashes.GetEvidence())}
 	case *peerpb.Command_RecordSpending:
-		c.Body = state.RecordSpending{Term: b.RecordSpending.GetTerm(), Records: spendingFromPB(b.RecordSpending.GetRecords())}
+		c.Body = state.RecordSpending{Records: spendingFromPB(b.RecordSpending.GetRecords())}
 	case *peerpb.Command_EvacuateZone:
 		p := b.EvacuateZone
 		c.Body = state.EvacuateZone{Zone: p.GetZone(), By: p.GetBy(), At: clock.Instant(p.GetAt()), Seen: (*clock.Instant)(p.Seen)}
@@ -213,7 +213,7 @@
 		m.Rollouts = append(m.Rollouts, RolloutToPB(r))
 	}
 	m.Crashes = crashTableToPB(&s.Crashes)
-	m.Spending, m.SpendingTerm = spendingToPB(slices.Collect(maps.Values(s.Spending))), s.SpendingTerm
+	m.Spending = spendingToPB(slices.Collect(maps.Values(s.Spending)))
 	for _, e := range s.Evacuations {
 		m.Evacuations = append(m.Evacuations, EvacuationToPB(e))
 	}
@@ -281,7 +281,6 @@
 	for _, r := range spendingFromPB(m.GetSpending()) {
 		s.Spending[r.Account] = r
 	}
-	s.SpendingTerm = m.GetSpendingTerm()
 	for _, r := range m.GetEvacuations() {
 		s.Evacuations[r.GetZone()] = EvacuationFromPB(r)
 	}
@@ -296,12 +295,7 @@
 func spendingToPB(records []quota.Record) []*peerpb.SpendingRecord {
 	var list []*peerpb.SpendingRecord
 	for i := range records {
-		r := &records[i]
-		m := &peerpb.SpendingRecord{Account: r.Account, At: int64(r.At), Spent: r.Spent, Ended: r.Ended}
-		for _, run := range r.Runs {
-			m.Runs = append(m.Runs, &peerpb.RunSpending{Run: run.Run, Total: run.Total, Spent: run.Spent, Unspent: run.Unspent, Lease: run.Lease})
-		}
-		list = append(list, m)
+		list = append(list, &peerpb.SpendingRecord{Account: records[i].Account, At: int64(records[i].At), Spent: records[i].Spent})
 	}
 	return list
 }
@@ -309,13 +303,7 @@
 func spendingFromPB(list []*peerpb.SpendingRecord) []quota.Record {
 	var records []quota.Record
 	for _, m := range list {
-		r := quota.Record{Account: m.GetAccount(), At: clock.Instant(m.GetAt()), Spent: m.GetSpent(), Ended: m.GetEnded()}
-		for _, run := range m.GetRuns() {
-			r.Runs = append(r.Runs, quota.RunRecord{
-				Run: run.GetRun(), Total: run.GetTotal(), Spent: run.GetSpent(), Unspent: run.GetUnspent(), Lease: run.GetLease(),
-			})
-		}
-		records = append(records, r)
+		records = append(records, quota.Record{Account: m.GetAccount(), At: clock.Instant(m.GetAt()), Spent: m.GetSpent()})
 	}
 	return records
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -85,9 +85,8 @@
 	case 9:
 		return state.RecordCrashes{At: clock.Instant(rapid.IntRange(0, 9000).Draw(t, "crashAt")), Evidence: drawEvidence(t)}
 	case 10:
-		return state.RecordSpending{Term: 3, Records: []quota.Record{{
+		return state.RecordSpending{Records: []quota.Record{{
 			Account: "a" + drawText("account"), At: clock.Instant(rapid.IntRange(0, 90_000).Draw(t, "recordAt")), Spent: []float64{1.5, 0, 7},
-			Runs: []quota.RunRecord{{Run: "e1/b", Total: 9.5, Spent: []float64{0, 2}, Unspent: 4, Lease: 8}}, Ended: []float64{3},
 		}}}
 	case 11:
 		return state.EvacuateZone{Zone: "z" + drawText("zone"), By: drawText("operator"), At: 300, Seen: drawSeen(t)}
