duty, quota: tests use ports.Serve and one loop of seeds

Cause: respond in the tests of package duty wrote ports.Serve again, and TestLeasesOfKilledDaemonsCountAsSpent and TestQuotaHoldsInLongCuts had the same loop twice.

Change: respond calls ports.Serve; the two tests share checkQuota. Seeds, bounds and messages are the same.

--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"swiftbeam/internal/ports"
 	"swiftbeam/pkg/clock"
 )
 
@@ -96,27 +97,16 @@
 // respond starts a server that reads each request, writes a response and closes the connection.
 func respond(t *testing.T, write func(conn net.Conn)) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+		if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			write(conn)
+		}
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					write(conn)
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
+	return address
 }
 
 // post sends a call without a gate.
--- a/internal/quota/takeover_test.go
+++ b/internal/quota/takeover_test.go
@@ -169,18 +169,15 @@
 	}
 }
 
-// TestLeasesOfKilledDaemonsCountAsSpent guards against quotas that are granted again when entry daemons that were cut off, and
-// spent their leases, are killed.
-func TestLeasesOfKilledDaemonsCountAsSpent(t *testing.T) {
+// checkQuota plays 60 seeds in which many requests come from step 205 on, while disturb changes the busy daemons at each step.
+func checkQuota(t *testing.T, disturb func(s *site, n int, busy *daemonAt)) {
+	t.Helper()
 	for seed := range uint64(60) {
 		s := newSite(seed, 2+int(seed%9))
 		for n := range 700 {
 			for _, d := range s.daemons {
-				switch {
-				case n == 200 && d.part > 0.1:
-					d.cutUntil = s.now.Add(2 * clock.Second)
-				case n == 240 && d.part > 0.1:
-					d.downUntil = s.now.Add(clock.Second)
+				if d.part > 0.1 {
+					disturb(s, n, d)
 				}
 			}
 			rate := 3.0
@@ -195,25 +192,25 @@
 	}
 }
 
+// TestLeasesOfKilledDaemonsCountAsSpent guards against quotas that are granted again when entry daemons that were cut off, and
+// spent their leases, are killed.
+func TestLeasesOfKilledDaemonsCountAsSpent(t *testing.T) {
+	checkQuota(t, func(s *site, n int, busy *daemonAt) {
+		switch n {
+		case 200:
+			busy.cutUntil = s.now.Add(2 * clock.Second)
+		case 240:
+			busy.downUntil = s.now.Add(clock.Second)
+		}
+	})
+}
+
 // TestQuotaHoldsInLongCuts guards against leases that are granted to others while daemons that are cut off for longer than a
 // window spend them.
 func TestQuotaHoldsInLongCuts(t *testing.T) {
-	for seed := range uint64(60) {
-		s := newSite(seed, 2+int(seed%9))
-		for n := range 700 {
-			for _, d := range s.daemons {
-				if n == 200 && d.part > 0.1 {
-					d.cutUntil = s.now.Add(15 * clock.Second)
-				}
-			}
-			rate := 3.0
-			if n >= 205 {
-				rate = 80
-			}
-			s.step(n, rate)
+	checkQuota(t, func(s *site, n int, busy *daemonAt) {
+		if n == 200 {
+			busy.cutUntil = s.now.Add(15 * clock.Second)
 		}
-		if got := s.maxBySteps(); got > allowed {
-			t.Errorf("seed %d: got %.0f tokens in 8 s, want at most %.0f", seed, got, float64(allowed))
-		}
-	}
+	})
 }
