buyer: the client checks the gate of an order over TLS, too

Cause: checked the right to send a second time in Buyer.execute, as the client for a cloud over TLS knew no gates: a case on top of the gate, with its expiry written again.

Change: duty.CheckFirst wraps that client's transport, with the check that the client of package duty uses. Buyer only passes the gate on. An order that is late is not sent, as before; the error is that of package duty.

Measured: TestClosedGateSendsNothingOverTLS (an open, a closed and an expired gate), TestOrderIsNotSentAfterAPause and TestCloudOverTLSIsReached pass, with packages duty, buyer, daemon and setup.

--- a/internal/buyer/buyer.go
+++ b/internal/buyer/buyer.go
@@ -48,7 +48,7 @@
 	Clock  clock.Clock
 	Store  *store.Store
 	Roster *roster.Roster
-	// Cloud uses the client of package duty where it can, which sends no order late.
+	// Cloud must use a client that obeys gates of package duty, so that no order is sent late.
 	Cloud *cloud.Client
 	Log   logr.Logger
 
@@ -222,12 +222,7 @@
 		return fault.New(fault.Conflict, "order %s was not recorded: %v", operation, result.Code)
 	}
 	gate := duty.Gate{Clock: b.Clock, Open: func() (clock.Instant, bool) { return b.maySendUntil(term) }}
-	var callErr error
-	if until, ok := gate.Open(); ok && !b.Clock.Now().After(until) {
-		callErr = do(duty.WithGate(ctx, gate), operation, result.Fence)
-	} else {
-		callErr = fault.New(fault.Unavailable, "order %s was not sent: no contact with a quorum", operation).Remedy("none; the present leader decides anew")
-	}
+	callErr := do(duty.WithGate(ctx, gate), operation, result.Fence)
 	_, err = b.Store.Propose(ctx, state.EndOrder{Operation: operation, Fence: result.Fence, Done: callErr == nil})
 	if callErr != nil {
 		return callErr
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -242,13 +242,14 @@
 	return list
 }
 
-// orderClient returns the client for orders to the cloud at an address. Over TLS the right to send is checked before the
-// call only, as records are encrypted before they are written.
+// orderClient returns the client for orders to the cloud at an address.
 func orderClient(address string) *http.Client {
-	if strings.HasPrefix(address, "https:") {
-		return engine.NewHTTPClient(nil)
+	if !strings.HasPrefix(address, "https:") {
+		return duty.NewClient()
 	}
-	return duty.NewClient()
+	client := engine.NewHTTPClient(nil)
+	client.Transport = duty.CheckFirst(client.Transport)
+	return client
 }
 
 func (d *Daemon) registerServices() {
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -55,6 +55,24 @@
 	}
 }
 
+// CheckFirst returns a transport that checks the gate and the deadline of a call once, before it passes the call on. It is for calls over
+// TLS, whose records are encrypted before they are written.
+func CheckFirst(next http.RoundTripper) http.RoundTripper { return checkFirst{next: next} }
+
+type checkFirst struct{ next http.RoundTripper }
+
+// RoundTrip passes a call on if it is not late.
+func (c checkFirst) RoundTrip(r *http.Request) (*http.Response, error) {
+	isLate, err := newLimit(r.Context(), 0)
+	if err == nil && isLate() {
+		err = errLate
+	}
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnsent)
+	}
+	return c.next.RoundTrip(r)
+}
+
 // transport makes each call over a connection of its own.
 type transport struct{}
 
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -206,3 +206,33 @@
 		t.Errorf("got %d calls and error %v, want none and ErrUnsent", got, err)
 	}
 }
+
+// TestClosedGateSendsNothingOverTLS guards against orders to a cloud over TLS that are begun after the right to send has ended.
+func TestClosedGateSendsNothingOverTLS(t *testing.T) {
+	c := clock.Start()
+	for name, test := range map[string]struct {
+		open func() (clock.Instant, bool)
+		want int64
+	}{
+		"open":    {func() (clock.Instant, bool) { return c.Now().Add(clock.Minute), true }, 1},
+		"closed":  {func() (clock.Instant, bool) { return 0, false }, 0},
+		"expired": {func() (clock.Instant, bool) { return c.Now().Add(-1), true }, 0},
+	} {
+		calls := atomic.Int64{}
+		s := httptest.NewTLSServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+		client := s.Client()
+		client.Transport = CheckFirst(client.Transport)
+		r, err := http.NewRequestWithContext(WithGate(t.Context(), Gate{Clock: c, Open: test.open}), http.MethodPost, s.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := client.Do(r)
+		if err == nil {
+			response.Body.Close()
+		}
+		s.Close()
+		if got := calls.Load(); got != test.want || errors.Is(err, ErrUnsent) != (test.want == 0) {
+			t.Errorf("%s gate: got %d calls and error %v, want %d calls", name, got, err, test.want)
+		}
+	}
+}
