dial, pool, intake: small processes hold fewer unread bytes

Cause: the system holds up to 64 KB unread of each connection, whatever the memory of the process is; 140 connections hold 11 MB.

Change: the buffer of a connection follows from the memory, 32 KB at 64 MB; from 128 MB on it is 64 KB as before.

--- a/internal/dial/dial.go
+++ b/internal/dial/dial.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// Bounds of ReadBuffer. The greatest lets a peer at 80 ms one way send 400 KB/s.
+const (
+	minReadBuffer   = 16 << 10
+	maxReadBuffer   = 64 << 10
+	readBufferParts = 2048
+)
+
+// ReadBuffer returns what the system may hold of the unread bytes of each connection of a process with the given memory, to which
+// they count. The system doubles it for its own use.
+func ReadBuffer(memoryBytes int64) int {
+	if memoryBytes <= 0 {
+		return maxReadBuffer
+	}
+	return int(min(max(memoryBytes/readBufferParts, minReadBuffer), maxReadBuffer))
+}
+
 // IsTimeout reports whether a connection could not be opened because the other VM did not respond.
 func IsTimeout(err error) bool {
 	var timeout net.Error
--- a/internal/dial/dial_test.go
+++ b/internal/dial/dial_test.go
@@ -87,3 +87,15 @@
 		t.Errorf("got error %v, want the connection closed", err)
 	}
 }
+
+// TestReadBuffersFitIntoSmallMemory guards against buffers of the system that do not shrink with the memory of the process.
+func TestReadBuffersFitIntoSmallMemory(t *testing.T) {
+	for _, c := range []struct {
+		memory int64
+		want   int
+	}{{0, 64 << 10}, {16 << 20, 16 << 10}, {64 << 20, 32 << 10}, {128 << 20, 64 << 10}, {1 << 30, 64 << 10}} {
+		if got := ReadBuffer(c.memory); got != c.want {
+			t.Errorf("memory of %d bytes: got a buffer of %d, want %d", c.memory, got, c.want)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -130,8 +130,8 @@
 	e.startedAt = e.clock.Now()
 	e.SetSeeds(s.Seeds)
 	e.Net = peers.New(peers.Options{Token: s.PeerToken})
-	e.Pool = &pool.Pool{Clock: e.clock}
-	e.PeerPool = &pool.Pool{Clock: e.clock}
+	e.Pool = &pool.Pool{Clock: e.clock, MemoryBytes: s.MemoryBytes}
+	e.PeerPool = &pool.Pool{Clock: e.clock, MemoryBytes: s.MemoryBytes}
 	e.Proxy = &proxy.Proxy{
 		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, ClusterTime: func() clock.Instant { return e.Follower.ClusterTime() },
 		MemoryBytes: s.MemoryBytes, RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure), ColdBurst: turns.Burst(s.Cold),
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"swiftbeam/internal/dial"
 	"swiftbeam/internal/meter"
 )
 
@@ -51,8 +52,6 @@
 	// never stop sending can hold places.
 	minWait = 100 * time.Millisecond
 	maxWait = time.Second
-	// readBufferBytes is the buffer of the kernel for bytes that have arrived; the kernel doubles it for its own use.
-	readBufferBytes = 64 << 10
 )
 
 // Limits bounds what the clients of all servers of a process use. Set the exported fields before use.
@@ -66,7 +65,9 @@
 	// have arrived on it that were not read.
 	MinWait time.Duration
 	MaxWait time.Duration
-	Log     logr.Logger
+	// ReadBuffer is what the system may hold of the unread bytes of a connection.
+	ReadBuffer int
+	Log        logr.Logger
 
 	// Refused counts the bodies that found no memory, Closed the connections closed for others, HeldUp those that could
 	// not take a place at once.
@@ -104,7 +105,7 @@
 	share := memoryBytes / connectionParts
 	l := &Limits{
 		BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes),
-		MinWait: minWait, MaxWait: maxWait,
+		MinWait: minWait, MaxWait: maxWait, ReadBuffer: dial.ReadBuffer(memoryBytes),
 	}
 	var descriptors syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
@@ -152,7 +153,7 @@
 		if outerContext != nil {
 			ctx = outerContext(ctx, conn)
 		}
-		boundReadBuffer(conn)
+		l.boundReadBuffer(conn)
 		return context.WithValue(ctx, clientKey{}, l.admit(conn))
 	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -187,9 +188,9 @@
 }
 
 // boundReadBuffer bounds the memory of bytes that have arrived.
-func boundReadBuffer(conn net.Conn) {
-	if tcp := socket(conn); tcp != nil {
-		_ = tcp.SetReadBuffer(readBufferBytes)
+func (l *Limits) boundReadBuffer(conn net.Conn) {
+	if tcp := socket(conn); tcp != nil && l.ReadBuffer > 0 {
+		_ = tcp.SetReadBuffer(l.ReadBuffer)
 	}
 }
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -53,9 +53,6 @@
 	// round trip and a timer that fires late.
 	idleMargin      = 300 * clock.Millisecond
 	readBufferBytes = 2 << 10
-	// unreadBytes bounds what the system holds of a response that is not read, which counts as memory of the process. It
-	// lets a server at 80 ms one way send 400 KB/s. The system doubles it for its own use.
-	unreadBytes = 64 << 10
 	// turnBytes is what is read of a response at a time while other goroutines are ready to run.
 	turnBytes = 64 << 10
 	// maxSkippedResponses is the number of responses to other requests that are skipped.
@@ -88,6 +85,8 @@
 	// TimedOut is called when the system has ended an idle connection because the server's VM did not respond;
 	// it may be nil.
 	TimedOut func(address string)
+	// MemoryBytes is the memory of the process; zero if unknown.
+	MemoryBytes int64
 	// Opened counts the connections that were opened.
 	Opened atomic.Int64
 
@@ -249,7 +248,7 @@
 	}
 	p.Opened.Add(1)
 	tcp := conn.(*net.TCPConn)
-	_ = tcp.SetReadBuffer(unreadBytes)
+	_ = tcp.SetReadBuffer(dial.ReadBuffer(p.MemoryBytes))
 	input := &limitedInput{from: conn}
 	return &Conn{pool: p, OpenedAt: p.Clock.Now(), address: address, net: tcp, input: input, reader: bufio.NewReaderSize(input, readBufferBytes)}, nil
 }
