intake: the buffer that a body grows from counts

Cause: while a body of a caller grows, its old buffer is in use until it is copied, but only the new one was counted, so that growing bodies used half as much again as BodyBytes.

Change: both count until the copy is made.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -77,14 +77,19 @@
 	for {
 		if len(body) == cap(body) {
 			size := min(2*int64(cap(body)), most)
-			if c != nil && size > shortBytes {
-				if err := c.take(size); err != nil {
+			counts := c != nil && size > shortBytes
+			if counts {
+				// The old buffer is in use until it is copied.
+				if err := c.take(size + int64(cap(body))); err != nil {
 					return nil, err
 				}
 			}
 			grown := make([]byte, len(body), size)
 			copy(grown, body)
 			body = grown
+			if counts {
+				c.keep(size)
+			}
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -128,6 +133,18 @@
 	return nil
 }
 
+// keep lowers the memory of the client's body to size.
+func (c *client) keep(size int64) {
+	l := c.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.evicted {
+		return
+	}
+	l.used += size - c.share
+	c.share = size
+}
+
 // stalled returns the body of another client that has made no progress for longest, of those that have made none for
 // stallTime; nil if there is none.
 func (l *Limits) stalled(c *client, now time.Time) *client {
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -162,3 +162,25 @@
 		t.Errorf("got %d connections closed, want 1 at least", got)
 	}
 }
+
+// TestOldBufferOfAGrowingBodyCounts grows a body beside one that holds memory.
+func TestOldBufferOfAGrowingBodyCounts(t *testing.T) {
+	// Room for the first body and the grown buffer of the second one, but not for the buffer that it grows from.
+	l := &Limits{BodyBytes: 4*shortBytes + 1, MaxWaiting: 100, MaxIdle: 100}
+	hold := make(chan struct{})
+	server := startHeld(t, l, &heldListener{}, func(r *http.Request) {
+		if r.Header.Get("Hold") != "" {
+			<-hold
+		}
+	})
+	defer close(hold)
+	open(t, server, fmt.Sprintf("%sHold: 1\r\nContent-Length: %d\r\n\r\n%s", postHead, 2*shortBytes, strings.Repeat("x", 2*shortBytes)))
+	await(t, func() bool { return l.Used() == 2*shortBytes })
+	second := open(t, server, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", postHead, 2*shortBytes, strings.Repeat("x", 2*shortBytes)))
+	if got := status(t, second); got != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want 503", got)
+	}
+	if got := l.Used(); got != 2*shortBytes {
+		t.Errorf("got %d bytes in use, want %d", got, 2*shortBytes)
+	}
+}
