intake: buffers of growing and broken bodies are reused

Cause: a body of a caller grows through buffers of 4 to 64 KB that are used once, 132 KB of garbage for each body that is broken off or refused. Beside endless bodies that is more than the collector takes away: 716 collections in 8 s, and a peak of resident memory of up to 59 MB of 64 (pinned to 4 of 8 processors).

Change: the buffers are kept for the next body.

Measured: TestBrokenBodiesLeaveLittleGarbage fails with 132287 bytes for each body before, 32768 allowed.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -66,14 +66,19 @@
 }
 
 // read reads the body into a buffer that grows as bytes arrive.
-func read(r io.Reader, c *client, length, maxBytes int64) ([]byte, error) {
+func read(r io.Reader, c *client, length, maxBytes int64) (_ []byte, err error) {
 	most := maxBytes + 1
 	size := int64(firstBytes)
 	if length > 0 {
 		most = length
 		size = shortBytes
 	}
-	body := make([]byte, 0, min(size, most))
+	body := newBuffer(min(size, most))
+	defer func() {
+		if err != nil {
+			freeBuffer(body)
+		}
+	}()
 	for {
 		if len(body) == cap(body) {
 			size := min(2*int64(cap(body)), most)
@@ -84,8 +89,8 @@
 					return nil, err
 				}
 			}
-			grown := make([]byte, len(body), size)
-			copy(grown, body)
+			grown := append(newBuffer(size), body...)
+			freeBuffer(body)
 			body = grown
 			if counts {
 				c.keep(size)
