store: a member whose data folder was replaced does not vote under its old ID

Callers saw, in the worst case, two daemons that lead the same term and call the cloud in turn: two votes in a term elect two leaders.

Cause: after a failure of the data folder the store opens it again. If the folder was replaced or unmounted meanwhile, that creates an empty one with another identity, and the member went on under its old ID without its term, its vote and its log.

Change: the store uses only a folder with its own identity. A restart joins as a new member; a folder that is put back is used again.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -151,12 +151,17 @@
 		s.logSlowDisk("open", began)
 		identity = loaded.Identity
 	}
-	s.Self.ID = quorum.ID(s.Self.Name + "." + identity)
+	s.Self.ID = s.memberID(identity)
 	s.Self.Disk = s.Folder != ""
 	s.Settings.Self = s.Self.ID
 	return s.load(loaded)
 }
 
+// memberID returns the ID of this daemon with the identity in a data folder.
+func (s *Store) memberID(identity string) quorum.ID {
+	return quorum.ID(s.Self.Name + "." + identity)
+}
+
 func (s *Store) load(loaded disk.Loaded) error {
 	if loaded.Snapshot.Index > 0 {
 		restored, err := wire.DecodeState(loaded.Snapshot.Data)
@@ -350,6 +355,10 @@
 	log, loaded, err := s.OpenDisk(s.Folder)
 	if err == nil {
 		s.log = log
+		if s.memberID(loaded.Identity) != s.Self.ID {
+			s.rejectFolder()
+			return false
+		}
 		log.AppendHard(loaded.Hard)
 		err = log.Sync()
 	}
@@ -367,6 +376,16 @@
 	return true
 }
 
+// rejectFolder records that the data folder was replaced. Without its term and vote, this member could vote twice in a term.
+func (s *Store) rejectFolder() {
+	err := fault.New(fault.Damaged, "data folder %s was replaced while the daemon ran", s.Folder).
+		Remedy("restart the daemon to join as a new member, or put the old folder back")
+	if s.diskErr.Error() != err.Error() {
+		s.diskErr = err
+		s.Log.Error(err, "data folder is that of another member; this daemon does not vote")
+	}
+}
+
 func (s *Store) handleBootstrap(members []quorum.Member) {
 	if !s.startedEmpty || len(s.raft.Members()) > 0 {
 		return
