--- a/internal/duty/world_test.go
+++ b/internal/duty/world_test.go
@@ -134,25 +134,41 @@
 	for seed := range uint64(200) {
 		w := newWorld(seed, 3, s)
 		w.play(clock.Minute)
-		slices.SortStableFunc(w.arrivals, func(a, b arrival) int { return int(a.at - b.at) })
 		if len(w.arrivals) < 50 {
 			t.Fatalf("seed %d: got %d calls, want at least 50", seed, len(w.arrivals))
 		}
-		lastOf := make(map[int]clock.Instant)
-		for i, a := range w.arrivals {
-			if i == 0 {
-				lastOf[a.holder] = a.at
-				continue
-			}
-			before := w.arrivals[i-1]
-			if a.fence < before.fence {
-				t.Errorf("seed %d, call at %d: got fence %d after %d", seed, a.at, a.fence, before.fence)
-			}
-			if last, ok := lastOf[a.holder]; ok && before.holder != a.holder && a.at.Sub(last) < s.Lease {
-				t.Errorf("seed %d: holder %d has a call at %d, %v after its last one with a call of holder %d between, want at least %v",
-					seed, a.holder, a.at, a.at.Sub(last), before.holder, s.Lease)
-			}
-			lastOf[a.holder] = a.at
+		checkTurns(t, seed, w.arrivals, s.Lease)
+	}
+}
+
+// checkTurns checks that fencing numbers do not decrease and that holders do not take turns within the lease, in the order in which calls
+// arrive. It returns how often the holder changed, and how often it was one that had called before.
+func checkTurns(t *testing.T, seed uint64, arrivals []arrival, lease clock.Duration) (changes, returns int) {
+	t.Helper()
+	slices.SortStableFunc(arrivals, func(a, b arrival) int { return int(a.at - b.at) })
+	lastOf := make(map[int]clock.Instant)
+	for i, a := range arrivals {
+		last, called := lastOf[a.holder]
+		lastOf[a.holder] = a.at
+		if i == 0 {
+			continue
+		}
+		before := arrivals[i-1]
+		if a.fence < before.fence {
+			t.Errorf("seed %d, call at %d: got fence %d after %d", seed, a.at, a.fence, before.fence)
+		}
+		if before.holder == a.holder {
+			continue
+		}
+		changes++
+		if !called {
+			continue
+		}
+		returns++
+		if a.at.Sub(last) < lease {
+			t.Errorf("seed %d: holder %d has a call at %d, %v after its last one with a call of holder %d between, want at least %v",
+				seed, a.holder, a.at, a.at.Sub(last), before.holder, lease)
 		}
 	}
+	return changes, returns
 }
