--- a/internal/buyer/buyer_test.go
+++ b/internal/buyer/buyer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -15,7 +16,9 @@
 	"swiftbeam/internal/cloud"
 	"swiftbeam/internal/duty"
 	"swiftbeam/internal/quorum"
+	"swiftbeam/internal/roster"
 	"swiftbeam/internal/runner"
+	"swiftbeam/internal/scale"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/store"
 	"swiftbeam/pkg/clock"
@@ -86,3 +89,40 @@
 		}
 	}
 }
+
+// TestNewLeaderOrdersNothingAgain guards against VMs that are paid for twice when the leader changes before they announce themselves.
+func TestNewLeaderOrdersNothingAgain(t *testing.T) {
+	s, _ := startLeader(t)
+	for _, section := range [][2]string{
+		{"model", `{"kind": "service", "type": "engine", "version": "v1", "routes": [{"name": "quick", "priority": "urgent", "timeout": "30s"}]}`},
+		{"capacity", `{"kind": "capacity", "classes": [{"name": "std"}], "floors": [{"service": "model", "replicas": 2}], "prices": [
+			{"class": "std", "zone": "porto-a", "reclaimable": 500, "onDemand": 1800},
+			{"class": "std", "zone": "porto-b", "reclaimable": 520, "onDemand": 1800}]}`},
+	} {
+		result, err := s.Propose(t.Context(), state.PutSection{Operation: section[0], Section: section[0], Owner: "o", Text: section[1]})
+		if err != nil || result.Code != state.Done {
+			t.Fatalf("section %s: got %v %s and error %v, want Done", section[0], result.Code, result.Detail, err)
+		}
+	}
+	ordered := atomic.Int64{}
+	api := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var order cloud.StartOrder
+		if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+			t.Error(err)
+		}
+		ordered.Add(int64(order.Count))
+	}))
+	defer api.Close()
+	for _, leader := range []string{"a", "b"} {
+		b := &Buyer{
+			Self: leader, Clock: s.Clock, Store: s, Roster: &roster.Roster{}, Log: logr.Discard(), controls: make(map[string]*scale.Controller),
+			Cloud: &cloud.Client{Address: api.URL, HTTP: duty.NewClient()},
+		}
+		for range 2 {
+			b.decideAll(t.Context())
+		}
+		if got := ordered.Load(); got != 4 {
+			t.Fatalf("got %d replicas ordered once %s has led, want 4", got, leader)
+		}
+	}
+}
