store: proposals wait neither for a hung disk nor for a lost leader

What callers saw: while the disk of the leader hung, a server that said it leaves got its refusal from that daemon after 0.9 s of the 1 s that it allows, and so did each further server, for 1.5 s. At a follower it was refused after 0.9 s, too, though the group had the next leader by then.

Cause: a proposal at the leader waited for its disk until commitTimeout, also when the daemon had long known that its disk does not respond. A follower waited for the response of the leader that it knew when it was called (ProposeAt), and learned of the next one without using it. The bound itself counts from the arrival of the call: idle, the response comes after 900 to 901 ms.

Change: the ticks of the store count how long no batch of events was handled. After an election timeout of them, if there are other voters, waiting proposals end, and new ones are refused before anything is sent, until the disk responds. A proposal passed on to a leader is repeated at the next one as soon as this is known; commands may be repeated as before. A group of a single voter waits for its disk as before. Ticks are counted rather than time, so that a pause of the process is not taken for one of the disk. Time bounds stay as they were.

--- a/internal/core/departure_test.go
+++ b/internal/core/departure_test.go
@@ -10,6 +10,7 @@
 	"swiftbeam/internal/enrol"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/feed"
+	"swiftbeam/internal/state"
 	"swiftbeam/internal/wire"
 	"swiftbeam/internal/wire/peerpb"
 	"swiftbeam/pkg/clock"
@@ -249,6 +250,53 @@
 	}
 }
 
+// TestDaemonsWhoseDiskHangsRefuse guards against calls that wait for a disk that hangs until their time is over, and against
+// further ones that wait as long, although the other daemons can do without this one.
+func TestDaemonsWhoseDiskHangsRefuse(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		ahead int
+	}{{"leader", 0}, {"follower", 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			g, _ := newServedCluster(t, 3, 1)
+			i := (g.leader() + c.ahead) % len(g.cores)
+			release := g.stallDisk(i)
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if _, err := g.cores[i].Store.Propose(ctx, state.Barrier{}); fault.KindOf(err) != fault.Unknown || ctx.Err() != nil {
+				t.Errorf("got %v, %v, want an error of kind Unknown before the time of the call is over", err, ctx.Err())
+			}
+			for _, d := range departures {
+				called := time.Now()
+				if err := d.say(t.Context(), g.cores[i], 0); fault.KindOf(err) != fault.Unavailable {
+					t.Errorf("%s: got %v, want an error of kind Unavailable", d.name, err)
+				}
+				if took := time.Since(called); took > ackTimeout/2 {
+					t.Errorf("%s: got the refusal after %v, want at most %v", d.name, took, ackTimeout/2)
+				}
+			}
+			release()
+			for deadline := time.Now().Add(10 * time.Second); departures[0].say(t.Context(), g.cores[i], 0) != nil; time.Sleep(50 * time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("got no acknowledgement in 10 s after the disk was free")
+				}
+			}
+		})
+	}
+}
+
+// TestOnlyVoterWaitsForItsDisk guards against refusals where no other daemon can do without the disk.
+func TestOnlyVoterWaitsForItsDisk(t *testing.T) {
+	g, _ := newServedCluster(t, 1, 1)
+	release := g.stallDisk(0)
+	time.AfterFunc((2 * ElectionTimeout).Std(), release)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if _, err := g.cores[0].Store.Propose(ctx, state.Barrier{}); err != nil {
+		t.Errorf("got %v, want the commit once the disk is free", err)
+	}
+}
+
 // TestDepartureWithoutLeaderIsRefusedAndInForce guards against an acknowledgement by daemons that are cut off from the
 // majority of the group, and against entry daemons which send on to a server that says it leaves, as it is not acknowledged.
 func TestDepartureWithoutLeaderIsRefusedAndInForce(t *testing.T) {
--- a/internal/group/group.go
+++ b/internal/group/group.go
@@ -35,6 +35,7 @@
 	joinPause       = 200 * clock.Millisecond
 	joinTimeout     = 2 * clock.Second
 	joinStagger     = 300 * clock.Millisecond
+	catchUpPause    = 50 * clock.Millisecond
 	identifyTimeout = clock.Second
 )
 
@@ -186,5 +187,6 @@
 			j.Log.Info("caught up", "applied", j.Store.Status().Applied)
 			return
 		}
+		runner.Pause(ctx, catchUpPause)
 	}
 }
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -16,11 +16,15 @@
 
 // Propose commits a command and returns its result once this daemon has applied it. Commands carry
 // identifiers that make them idempotent, so Propose repeats them across leader changes until ctx
-// ends. An error of kind Unknown means that the command may have taken effect or still take effect.
+// ends or this daemon's disk hangs. An error of kind Unknown means that the command may have taken
+// effect or still take effect.
 func (s *Store) Propose(ctx context.Context, body state.Body) (state.Result, error) {
 	command := wire.EncodeCommand(state.Command{At: s.Clock.Now(), Body: body})
 	sent := false
 	for {
+		if s.hangs.Load() {
+			return state.Result{}, hangError(sent)
+		}
 		index, result, err := s.proposeOnce(ctx, command)
 		if err == nil {
 			return result, s.WaitApplied(ctx, index)
@@ -43,6 +47,15 @@
 		Remedy("repeat it with the same operation ID").WithRetryAfter(1)
 }
 
+// hangError is the error of a proposal at a daemon whose disk hangs. Another daemon may be able to commit it.
+func hangError(sent bool) error {
+	kind := fault.Unavailable
+	if sent {
+		kind = fault.Unknown
+	}
+	return fault.New(kind, "the data folder of this daemon does not respond").Remedy("call another daemon").WithRetryAfter(1)
+}
+
 func (s *Store) proposeOnce(ctx context.Context, command []byte) (uint64, state.Result, error) {
 	status := s.Status()
 	switch {
@@ -51,6 +64,8 @@
 	case status.LeaderAt == "":
 		return 0, state.Result{}, noLeaderError()
 	}
+	ctx, cancel := s.untilNextLeader(ctx, status.Term)
+	defer cancel()
 	index, data, err := s.Network.ProposeAt(ctx, status.LeaderAt, command)
 	if err != nil {
 		return 0, state.Result{}, err
@@ -59,6 +74,29 @@
 	return index, result, err
 }
 
+// untilNextLeader returns a context that ends with ctx or when a leader of another term is known. A leader that was
+// lost may never respond.
+func (s *Store) untilNextLeader(ctx context.Context, term uint64) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			s.mu.RLock()
+			changed := s.leaderChanged
+			s.mu.RUnlock()
+			if status := s.Status(); status.LeaderAt != "" && status.Term != term {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // ProposeLocal commits an encoded command. It fails if this daemon is not the leader.
 func (s *Store) ProposeLocal(ctx context.Context, command []byte) (uint64, state.Result, error) {
 	ticket := s.tickets.Add(1)
@@ -66,6 +104,8 @@
 	switch {
 	case err != nil:
 		return 0, state.Result{}, err
+	case r.hangs:
+		return 0, state.Result{}, hangError(true)
 	case r.refusal != quorum.Accepted:
 		return 0, state.Result{}, noLeaderError()
 	case r.lost:
@@ -81,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	if r.hangs {
+		return hangError(true)
+	}
 	if r.refusal != quorum.Accepted || r.lost {
 		return fault.New(fault.Unavailable, "membership change refused: %v", r.refusal).Remedy("retry").WithRetryAfter(1)
 	}
@@ -148,6 +191,9 @@
 		if applied >= index {
 			return nil
 		}
+		if s.hangs.Load() {
+			return hangError(true)
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,12 +80,17 @@
 	contacts map[quorum.ID]quorum.Member
 	status   atomic.Pointer[Status]
 	tickets  atomic.Uint64
+	// passes counts the batches of events that were handled, and hangs is set while none is for longer than the other
+	// voters wait for this daemon.
+	passes atomic.Uint64
+	hangs  atomic.Bool
 
 	mu            sync.RWMutex
 	state         *state.State
 	waiters       map[uint64]chan proposalResult // by ticket
 	proposals     map[uint64]proposal            // by log index
 	changed       chan struct{}
+	leaderChanged chan struct{}
 	snapshotIndex uint64
 	// bytesSinceSnapshot is the total size of the commands applied since the last snapshot.
 	bytesSinceSnapshot int
@@ -101,12 +106,13 @@
 }
 
 // proposalResult is the outcome of a proposal at the leader. lost reports that another entry took the
-// log index or that this daemon lost leadership before the entry was applied.
+// log index or that this daemon lost leadership before the entry was applied; hangs, that its disk hangs.
 type proposalResult struct {
 	index   uint64
 	result  state.Result
 	refusal quorum.Refusal
 	lost    bool
+	hangs   bool
 }
 
 // Status is the published state of the store and its Raft state machine.
@@ -133,6 +139,7 @@
 	s.waiters = make(map[uint64]chan proposalResult)
 	s.proposals = make(map[uint64]proposal)
 	s.changed = make(chan struct{})
+	s.leaderChanged = make(chan struct{})
 	s.state = &state.State{}
 	s.state.Rebuild()
 	if s.SnapshotEvery == 0 {
@@ -262,13 +269,42 @@
 }
 
 func (s *Store) tick(ctx context.Context) {
+	interval := min(s.Settings.Heartbeat/2, tickInterval)
+	passes, without := s.passes.Load(), clock.Duration(0)
 	for ctx.Err() == nil {
 		clock.Refresh(s.Clock)
 		s.events.Offer(quorum.Tick{})
-		runner.Pause(ctx, min(s.Settings.Heartbeat/2, tickInterval))
+		runner.Pause(ctx, interval)
+		// Ticks are counted rather than the time, so that a pause of the process is not taken for one of the disk.
+		without += interval
+		if p := s.passes.Load(); p != passes {
+			passes, without = p, 0
+		}
+		s.checkDisk(without > s.Settings.ElectionTimeout)
 	}
 }
 
+// checkDisk ends what waits for this daemon's disk while it hangs and other voters can do without it.
+func (s *Store) checkDisk(hangs bool) {
+	hangs = hangs && s.isGroup()
+	changed := s.hangs.Swap(hangs) != hangs
+	if !hangs {
+		return
+	}
+	s.endWaiting(proposalResult{hangs: true})
+	if changed {
+		s.Log.Info("data folder does not respond; proposals are refused")
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.notifyChanged()
+	}
+}
+
+// isGroup reports whether there are other voters.
+func (s *Store) isGroup() bool {
+	return slices.ContainsFunc(s.Status().Members, func(m quorum.Member) bool { return m.Voter && m.ID != s.Self.ID })
+}
+
 func (s *Store) run(ctx context.Context) {
 	batch := make([]quorum.Event, 0, maxEventBatch)
 	for {
@@ -278,6 +314,7 @@
 		}
 		batch = s.events.Drain(append(batch[:0], first), maxEventBatch-1)
 		s.handle(batch)
+		s.passes.Add(1)
 	}
 	if s.log != nil {
 		_ = s.log.Close()
@@ -561,17 +598,23 @@
 	s.logChanges(status)
 	last := s.status.Swap(status)
 	if last != nil && last.Role == quorum.Leader && status.Role != quorum.Leader {
-		s.failWaiting()
+		// Propose repeats them at the new leader.
+		s.endWaiting(proposalResult{lost: true})
+	}
+	if last != nil && (last.Term != status.Term || last.LeaderAt != status.LeaderAt) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		close(s.leaderChanged)
+		s.leaderChanged = make(chan struct{})
 	}
 }
 
-// failWaiting fails all waiting proposals after this daemon lost leadership, so that Propose repeats
-// them at the new leader.
-func (s *Store) failWaiting() {
+// endWaiting gives all waiting proposals the same result.
+func (s *Store) endWaiting(r proposalResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ticket := range s.waiters {
-		s.completeLocked(ticket, proposalResult{lost: true})
+		s.completeLocked(ticket, r)
 	}
 }
 
