duty: segments that the kernel sends again arrive by the deadline of a call

Callers could see a call to the cloud arrive after its deadline, and so after the first call of the next holder, with a lower fencing number: its wait counts on calls that arrive by their deadline or never.

Cause: the kernel was told to give up at the deadline, but what it sends again then takes half a round trip to arrive.

Change: it gives up half a round trip before the deadline, as measured when the connection was opened.

No link was made to lose segments.

--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -218,13 +218,14 @@
 	return err
 }
 
-// limitRetransmission makes the kernel give up at the deadline of the call.
+// limitRetransmission makes the kernel give up when what it sends again would arrive after the deadline of the call.
 func (c *conn) limitRetransmission(ctx context.Context) error {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return nil
 	}
-	return dial.SetAckTimeout(c, clock.FromStd(time.Until(deadline)))
+	oneWay := c.openTime / 2
+	return dial.SetAckTimeout(c, clock.FromStd(time.Until(deadline)-oneWay))
 }
 
 // newLimit opens the gate of a call and returns a function that reports whether it is too late to send more of the call, which takes
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"swiftbeam/internal/ports"
 	"swiftbeam/pkg/clock"
@@ -193,6 +194,34 @@
 	}
 }
 
+// TestSegmentsSentAgainArriveInTime guards against calls that arrive after their deadline because the kernel sends a lost segment again.
+func TestSegmentsSentAgainArriveInTime(t *testing.T) {
+	address := respond(t, func(net.Conn) {})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c, err := connect(ctx, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	c.openTime = 400 * time.Millisecond
+	if err := c.limitRetransmission(ctx); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got int
+	var getErr error
+	if err := raw.Control(func(fd uintptr) { got, getErr = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }); err != nil || getErr != nil {
+		t.Fatal(err, getErr)
+	}
+	if got < 1 || got > 800 {
+		t.Errorf("got a time to send again of %d ms, want at most 800 over a way of 200 ms with a deadline of 1000 ms", got)
+	}
+}
+
 // TestCallOverTLSIsNotSent guards against calls that are sent in plain text to an address that requires TLS.
 func TestCallOverTLSIsNotSent(t *testing.T) {
 	calls := atomic.Int64{}
