daemon: memory and descriptors that clients use are bounded in swiftbeam daemon

Callers saw: nothing of a daemon that was killed for want of memory, and a readiness check answered after seconds, while clients sent bodies that stop short of their end. Cause: swiftbeam daemon bounded each request and nothing over all; it had no memory in its settings, and did not watch its descriptors.

Change: the intake of entry and core daemons serves all listeners of swiftbeam daemon. Bodies of callers, operators and backend servers are read through the intake; when its memory is used up they get 503 with Retry-After and notRun. Longer heads lower the number of connections that may wait.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"swiftbeam/internal/entry"
 	"swiftbeam/internal/group"
 	"swiftbeam/internal/guard"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/lease"
 	"swiftbeam/internal/manage"
 	"swiftbeam/internal/member"
@@ -89,6 +90,8 @@
 	joiner   *group.Joiner
 	draining atomic.Bool
 	servers  []*http.Server
+	// limits bounds what clients use of the process.
+	limits *intake.Limits
 
 	tunnels       *tunnel.Dialer
 	tunnelHandler *tunnel.Handler
@@ -108,7 +111,9 @@
 	if o.ReplaceAfter == 0 {
 		o.ReplaceAfter = ReplaceAfter
 	}
-	d := &Daemon{Settings: s, Runner: &runner.Runner{}, Metrics: metrics.NewRegistry(), options: o}
+	d := &Daemon{Settings: s, Runner: &runner.Runner{}, Metrics: metrics.NewRegistry(), options: o, limits: intake.FromMachine(s.Memory())}
+	d.limits.Log = o.Log.WithName("intake")
+	d.limits.FitHeads(s.Limits.HeaderBytes)
 	if err := d.loadTLS(); err != nil {
 		return nil, err
 	}
@@ -346,6 +351,7 @@
 		IdleTimeout: time.Minute,
 	}
 	abort.Guard(server)
+	d.limits.Track(server)
 	d.servers = append(d.servers, server)
 	go func() { _ = server.Serve(l) }()
 }
--- a/internal/daemon/shell.go
+++ b/internal/daemon/shell.go
@@ -69,6 +69,7 @@
 	for name, c := range counters {
 		_ = d.Metrics.Register(name, metrics.NewFunctionalGauge(c.Load))
 	}
+	d.limits.Register(d.Metrics)
 	_ = d.Metrics.Register("relay.running", metrics.NewFunctionalGauge(func() int64 { return int64(d.Relay.Running()) }))
 	_ = d.Metrics.Register("roster.serversRejected", metrics.NewFunctionalGauge(d.Roster.Rejected))
 	_ = d.Metrics.Register("store.applied", metrics.NewFunctionalGauge(func() int64 { return int64(d.Store.Status().Applied) }))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,17 +15,18 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/guard"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/lease"
 	"swiftbeam/internal/once"
 	"swiftbeam/internal/relay"
@@ -190,19 +191,21 @@
 		Remedy("retry; the load balancer selects another daemon").WithRetryAfter(1)
 }
 
+// readBody reads the body of a request. After an error the connection is closed, as the rest of the body was not read.
 func (e *Entry) readBody(w http.ResponseWriter, q *callerRequest) ([]byte, error) {
-	body := http.MaxBytesReader(w, q.Body, e.Settings.Limits.BodyBytes)
-	defer body.Close()
-	data, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
+	data, err := intake.Read(q.Request, e.Settings.Limits.BodyBytes, time.Time{})
+	if err == nil {
+		return data, nil
+	}
+	w.Header().Set("Connection", "close")
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(fault.Invalid, "the request body is longer than %d bytes", tooLarge.Limit).
+	case errors.Is(err, intake.ErrTooLong):
+		return nil, fault.New(fault.Invalid, "the request body is longer than %d bytes", e.Settings.Limits.BodyBytes).
 			Remedy("send a shorter request")
-	case err != nil:
-		return nil, fault.New(fault.Invalid, "cannot read the request body: %v", err).Remedy("send the request again")
+	case errors.Is(err, intake.ErrFull):
+		return nil, fault.New(fault.Unavailable, "too many long bodies arrive at the same time").Remedy("retry after the stated time").WithRetryAfter(1)
 	}
-	return data, nil
+	return nil, fault.New(fault.Invalid, "cannot read the request body: %v", err).Remedy("send the request again")
 }
 
 // newID returns a random request ID.
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -24,8 +24,8 @@
 	ErrFull    = errors.New("the memory for bodies is used up")
 )
 
-// Read reads the body of a request until the deadline; it has none if that is zero. The memory is that of the limits
-// until the handler returns. After an error the connection must be closed, as the rest of the body was not read.
+// Read reads the body of a request until the deadline; until that of the server if it is zero. The memory is that of the
+// limits until the handler returns. After an error the connection must be closed, as the rest of the body was not read.
 func Read(r *http.Request, maxBytes int64, deadline time.Time) ([]byte, error) {
 	length := r.ContentLength
 	if length > maxBytes {
@@ -39,7 +39,9 @@
 		if !c.limits.admitBody(c) {
 			return nil, net.ErrClosed
 		}
-		_ = c.conn.SetReadDeadline(deadline)
+		if !deadline.IsZero() {
+			_ = c.conn.SetReadDeadline(deadline)
+		}
 	}
 	body, err := read(r.Body, c, length, maxBytes)
 	if c == nil {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -115,6 +115,13 @@
 	return l
 }
 
+// FitHeads lowers MaxWaiting for servers that take heads of more than HeadBytes.
+func (l *Limits) FitHeads(bytes int) {
+	if bytes > HeadBytes {
+		l.MaxWaiting = max(l.MaxWaiting*HeadBytes/bytes, 1)
+	}
+}
+
 // client is the connection of a client.
 type client struct {
 	limits *Limits
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -6,19 +6,23 @@
 package manage
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/member"
 	"swiftbeam/internal/roster"
 	"swiftbeam/internal/runner"
@@ -73,7 +77,6 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		principal, err := m.authenticate(r, m.Settings.Operators)
 		if err == nil {
-			r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 			err = next(w, &action{Request: r, principal: principal})
 		}
 		if err != nil {
@@ -156,8 +159,8 @@
 			Remedy("ask its owner, or extend the operator's sections in the settings")
 	}
 	var p admin.PutSection
-	if err := json.NewDecoder(a.Body).Decode(&p); err != nil {
-		return fault.New(fault.Invalid, "cannot decode the body as a section write: %v", err).Remedy("send a JSON object with base, operation and text")
+	if err := readBody(w, a.Request, &p); err != nil {
+		return invalidBody(err, "a section write", "send a JSON object with base, operation and text")
 	}
 	if p.Operation == "" {
 		return fault.New(fault.Invalid, `field "operation" is missing`).Remedy("send an ID that is unique to this write")
@@ -293,8 +296,8 @@
 		return err
 	}
 	var a admin.Announcement
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&a); err != nil {
-		return fault.New(fault.Invalid, "cannot decode the body as an announcement: %v", err).Remedy("send the documented fields")
+	if err := readBody(w, r, &a); err != nil {
+		return invalidBody(err, "an announcement", "send the documented fields")
 	}
 	if !mayAccess(principal, a.Service) {
 		return fault.New(fault.Denied, "%s may not announce service %q", principal.Name, a.Service).
@@ -309,6 +312,28 @@
 	return nil
 }
 
+// readBody reads the body of a request and decodes it.
+func readBody(w http.ResponseWriter, r *http.Request, v any) error {
+	data, err := intake.Read(r, maxBodyBytes, time.Time{})
+	if err != nil {
+		// The rest of the body was not read.
+		w.Header().Set("Connection", "close")
+		return err
+	}
+	return json.NewDecoder(bytes.NewReader(data)).Decode(v)
+}
+
+// invalidBody returns the error of a request whose body could not be read as what it should be.
+func invalidBody(err error, what, remedy string) error {
+	switch {
+	case errors.Is(err, intake.ErrFull):
+		return fault.New(fault.Unavailable, "too many long bodies arrive at the same time").Remedy("retry after the stated time").WithRetryAfter(1)
+	case errors.Is(err, intake.ErrTooLong):
+		remedy = "send at most " + strconv.Itoa(maxBodyBytes) + " bytes"
+	}
+	return fault.New(fault.Invalid, "cannot decode the body as %s: %v", what, err).Remedy("%s", remedy)
+}
+
 func writeError(w http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	kind := fault.KindOf(err)
@@ -329,6 +354,10 @@
 	if errors.As(err, &c) {
 		e.Version = c.version
 	}
+	var f *fault.Error
+	if errors.As(err, &f) && f.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(f.RetryAfter))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(e)
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -153,7 +153,7 @@
 	s.Found = o.Bool("foundGroup")
 	s.Losses = int(o.Int("losses", 1, 0, 3))
 	s.PeerToken = o.Text("peerToken", "a secret that all daemons share")
-	s.MemoryBytes = o.Int("memoryMegabytes", 256, 16, 1<<20) << 20
+	s.MemoryBytes = o.Int("memoryMegabytes", 256, minMegabytes, maxMegabytes) << 20
 	s.Processors = int(o.Int("processors", 0, 0, 1024))
 	s.StopTimeout = o.Duration("stopTimeout", 8*clock.Second)
 	s.readBounds(o)
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"swiftbeam/internal/jsonc"
 	"swiftbeam/pkg/clock"
@@ -42,7 +43,9 @@
 	Lease       clock.Duration
 	// CloudAddress is the address of the cloud API; empty disables the calls.
 	CloudAddress string
-	Limits       Limits
+	// MemoryBytes is the memory that the process may use; zero for that of the VM, up to a limit.
+	MemoryBytes int64
+	Limits      Limits
 }
 
 // Listen contains the listen addresses of a daemon, each an IP address with a port.
@@ -123,6 +126,21 @@
 	return s, doc.Problems()
 }
 
+// defaultMemory bounds the memory of a daemon whose settings name none.
+const defaultMemory = 1 << 30
+
+// Memory returns the memory that the process may use.
+func (s *Settings) Memory() int64 {
+	if s.MemoryBytes > 0 {
+		return s.MemoryBytes
+	}
+	var vm syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&vm); err != nil {
+		return defaultMemory
+	}
+	return min(int64(vm.Totalram)*int64(vm.Unit), defaultMemory)
+}
+
 func (s *Settings) readIdentity(o *jsonc.Object) {
 	s.Name = o.Text("name", "the daemon's name, unique in the deployment")
 	s.Zone = o.Text("zone", "the availability zone of the VM")
@@ -238,12 +256,17 @@
 func (s *Settings) readLimits(o *jsonc.Object) {
 	s.BalancerLag = o.Duration("balancerLag", 5*clock.Second)
 	s.StopTimeout = o.Duration("stopTimeout", 2*clock.Minute)
+	s.MemoryBytes = o.Int("memoryMegabytes", 0, minMegabytes, maxMegabytes) << 20
 	s.Limits = DefaultLimits
-	n, ok := o.Get("limits")
-	if !ok {
-		return
+	if n, ok := o.Get("limits"); ok {
+		s.readRequestLimits(n.Object())
 	}
-	l := n.Object()
+	if n, ok := o.Get("memoryMegabytes"); ok && s.MemoryBytes > 0 && s.Limits.BodyBytes > s.MemoryBytes/bodyParts {
+		n.Fail("raise it, or lower limits.bodyBytes", "a body of %d bytes may take more than a quarter of the memory", s.Limits.BodyBytes)
+	}
+}
+
+func (s *Settings) readRequestLimits(l *jsonc.Object) {
 	s.Limits.BodyBytes = l.Int("bodyBytes", DefaultLimits.BodyBytes, 1024, 64<<20)
 	s.Limits.HeaderBytes = int(l.Int("headerBytes", int64(DefaultLimits.HeaderBytes), 1024, 1<<20))
 	s.Limits.ReadTimeout = l.Duration("readTimeout", DefaultLimits.ReadTimeout)
@@ -251,5 +274,12 @@
 	l.End()
 }
 
+// Bounds of memoryMegabytes. bodyParts is the part of the memory that one body may take.
+const (
+	minMegabytes = 16
+	maxMegabytes = 1 << 20
+	bodyParts    = 4
+)
+
 // DefaultLimits applies to each limit that the settings omit.
 var DefaultLimits = Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, ReadTimeout: 10 * clock.Second, Queue: 1024}
