dial, engine, pool, tunnel: a reset while a long request is written ends no response

Callers saw: a part of an answer as a whole one, and for a charged call a part recorded as its outcome. Cause: a server answers a long upload at once without a length, and resets the connection while the upload is written. The system reports a reset once; when the write got the report, the next read finds the end of the connection, as after a response that ends with it. The server is alive, so asking it shows nothing.

Package pool remembers a body that could not be written, which the proxy asks before it takes the end of a connection for that of a response.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,7 +42,7 @@
 		open = (&net.Dialer{Timeout: dialTimeout.Std()}).DialContext
 	}
 	transport := &http.Transport{
-		DialContext:       open,
+		DialContext:       dial.ReportResets(open),
 		DisableKeepAlives: true,
 		// A server may send headers without end.
 		MaxResponseHeaderBytes: maxHeadBytes,
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -518,3 +518,48 @@
 		}
 	}
 }
+
+// TestResetsDuringUploadsAreNoOutcome answers a long call in part, without a length, and resets the connection while the call
+// is still being written. The system reports the reset to the writer, and an end of the connection to the reader.
+func TestResetsDuringUploadsAreNoOutcome(t *testing.T) {
+	const calls, size = 10, 8 << 20
+	for _, readsOn := range []bool{false, true} {
+		for _, pause := range []time.Duration{0, 5 * time.Millisecond, 40 * time.Millisecond} {
+			t.Run(fmt.Sprintf("reads on %v, after %v", readsOn, pause), func(t *testing.T) {
+				address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nrec")
+					if readsOn {
+						go func() { _, _ = io.Copy(io.Discard, r.Body) }()
+					}
+					time.Sleep(pause)
+					_ = conn.SetLinger(0)
+					_ = conn.Close()
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				c := &Executor{HTTP: engine.NewHTTPClient(nil)}
+				_ = c.Start(t.Context(), &runner.Group{})
+				q := Call{OnceKey: state.OnceKey{Key: "k"}, Method: http.MethodPost, Path: "/", Body: bytes.Repeat([]byte("x"), size), Timeout: 10 * clock.Second}
+				whole := 0
+				for range calls {
+					answer, err := c.post(q, address)
+					if err == nil {
+						whole++
+						continue
+					}
+					if engine.NotSent(err) {
+						t.Errorf("got answer %+v, error %v, which tells that the call was not sent", answer, err)
+					}
+				}
+				if whole > 0 {
+					t.Errorf("got a part of the answer as a whole one in %d of %d calls, want in none", whole, calls)
+				}
+			})
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -115,6 +115,8 @@
 	expires     clock.Instant
 	mustClose   bool
 	bodyWritten chan error
+	// bodyLost is set once the body could not be written.
+	bodyLost atomic.Bool
 	// early is a final response that came instead of an interim one.
 	early *http.Response
 	// skipped is set once a response to another request was received.
@@ -359,6 +361,10 @@
 // SetDeadline sets the deadline of all reads and writes, also of those in progress.
 func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
 
+// WasReset reports whether the server has reset the connection, which the system reports once, to a read or to the write of
+// a long body.
+func (c *Conn) WasReset() bool { return c.bodyLost.Load() || dial.WasReset(c.net) }
+
 // Abort closes the connection at once, by which the server notices that the caller disconnected.
 func (c *Conn) Abort() { _ = c.net.Close() }
 
@@ -376,6 +382,7 @@
 	c.bodyWritten = written
 	go func() {
 		_, err := c.net.Write(body)
+		c.bodyLost.Store(err != nil)
 		written <- err
 	}()
 	return true, nil
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -217,3 +218,47 @@
 		c.Release(true)
 	}
 }
+
+// TestResetIsKnownWhenOnlyTheWriterWasTold lets a server reset the connection while a long body is written, and reads only
+// afterwards. The reader finds the end of the connection, as after a response that ends with it.
+func TestResetIsKnownWhenOnlyTheWriterWasTold(t *testing.T) {
+	for _, resets := range []bool{false, true} {
+		address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+			reader := bufio.NewReader(conn)
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+			if resets {
+				_ = conn.SetLinger(0)
+			} else {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_ = conn.Close()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := (&Pool{Clock: clock.Start()}).Get(t.Context(), address, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const size = 8 << 20
+		if _, err := c.Send(fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size), make([]byte, size)); err != nil {
+			t.Fatal(err)
+		}
+		c.bodyWritten <- <-c.bodyWritten
+		response, err := c.Receive(http.MethodPost, func(http.Header) bool { return true })
+		if err != nil {
+			// The part may be lost with the connection, but does not look whole then.
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		if whole := err == nil && !c.WasReset(); whole == resets {
+			t.Errorf("resets %v: got %q, error %v, reset %v; want a whole body: %v", resets, body, err, c.WasReset(), !resets)
+		}
+		response.Body.Close()
+		c.Release(false)
+	}
+}
--- a/internal/proxy/framing.go
+++ b/internal/proxy/framing.go
@@ -38,9 +38,10 @@
 	return closeFraming
 }
 
-// Errors of bodies that end with their connection. Either means that the body is not complete.
+// Errors of bodies that end with their connection. Each means that the body is not complete.
 var (
 	errServerEnded = errors.Wrap(io.ErrUnexpectedEOF, "nothing shows that the server runs on")
+	errWasReset    = errors.Wrap(io.ErrUnexpectedEOF, "the server has reset the connection")
 	errNothingRead = errors.Wrap(io.ErrUnexpectedEOF, "the connection was closed before the first event")
 )
 
@@ -94,6 +95,9 @@
 	if a.helper != nil || !a.proxy.Pool.IsAlive(ctx, server.Address, a.sentAt) {
 		return errServerEnded
 	}
+	if a.conn.WasReset() {
+		return errWasReset
+	}
 	return ctx.Err()
 }
 
--- a/internal/tunnel/end_test.go
+++ b/internal/tunnel/end_test.go
@@ -161,3 +161,33 @@
 	}()
 	return accepted
 }
+
+// TestResetsDuringUploadsAreNoEndOfTheBytes resets the connection to the server while the other daemon writes to it, which may
+// be the only side to which the system reports the reset.
+func TestResetsDuringUploadsAreNoEndOfTheBytes(t *testing.T) {
+	const tries, size = 30, 8 << 20
+	address := newScriptedServer(t, func(c *net.TCPConn) {
+		_, _ = io.WriteString(c, "part")
+		time.Sleep(5 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	d, _ := newPair(t, address)
+	ended := 0
+	for range tries {
+		conn, err := d.DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+		go func() { _, _ = conn.Write(make([]byte, size)) }()
+		_, err = io.Copy(io.Discard, conn)
+		if err == nil {
+			ended++
+		}
+		_ = conn.Close()
+	}
+	if ended > 0 {
+		t.Errorf("got the end of the bytes in %d of %d tries, want an error", ended, tries)
+	}
+}
--- a/internal/tunnel/handler.go
+++ b/internal/tunnel/handler.go
@@ -50,6 +50,7 @@
 		return
 	}
 	defer far.Close()
+	far = dial.ReportReset(far)
 	near, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		h.Log.Error(err, "no tunnel for other daemon", "server", address)
