valid, pool, engine, once, duty, cloud: statuses that HTTP does not define are no answers

Callers saw: at an entry daemon the statuses 600 and 999 as they were, and with 000, 001, 099 and +20 nothing until the deadline, then 504, though other servers were ready. At swiftbeam daemon a call was answered, and recorded, with status 000 to 999, and a stream was passed on under each status below 300. Cause: whatever was not an error was taken for an answer, and whatever was below 200 for an interim response.

Change: valid.CheckStatus and valid.IsInterim. Final responses have 200 to 599, interim ones 100 to 199 without 101, which answers a request to change the protocol. Any other status ends the attempt at once: a request that may be repeated goes to another server, others get 502 or an unknown outcome, as the server may have run them. The same holds for calls to the cloud.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -18,6 +18,7 @@
 
 	"swiftbeam/internal/roster"
 	"swiftbeam/internal/runner"
+	"swiftbeam/internal/valid"
 	"swiftbeam/pkg/clock"
 )
 
@@ -103,6 +104,9 @@
 		return errors.Wrap(err, "send order to the cloud")
 	}
 	defer r.Body.Close()
+	if err := valid.CheckStatus(r.StatusCode); err != nil {
+		return errors.Wrap(err, "order to the cloud")
+	}
 	if r.StatusCode >= http.StatusMultipleChoices {
 		return errors.Newf("cloud refused the order with status %d", r.StatusCode)
 	}
--- a/internal/cloud/cloud_test.go
+++ b/internal/cloud/cloud_test.go
@@ -1,11 +1,16 @@
 package cloud
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"swiftbeam/internal/engine"
+	"swiftbeam/internal/ports"
 )
 
 // TestNoticesOfAFailedCallAreNoEmptyList answers the poll for notices with errors that are JSON objects.
@@ -25,3 +30,21 @@
 		}
 	}
 }
+
+// TestStatusesThatHTTPDoesNotDefineAcceptNoOrder answers an order with statuses that no final response has.
+func TestStatusesThatHTTPDoesNotDefineAcceptNoOrder(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "600", "999"} {
+		address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (&Client{Address: "http://" + address, HTTP: engine.NewHTTPClient(nil)}).Stop(t.Context(), StopOrder{}); err == nil {
+			t.Errorf("status %s: got no error, want one", status)
+		}
+	}
+}
--- a/internal/duty/client.go
+++ b/internal/duty/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"swiftbeam/internal/dial"
+	"swiftbeam/internal/valid"
 	"swiftbeam/pkg/clock"
 )
 
@@ -114,10 +115,11 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK {
-			limit.N = math.MaxInt64
-			return response, nil
+		if valid.IsInterim(response.StatusCode) {
+			continue
 		}
+		limit.N = math.MaxInt64
+		return response, valid.CheckStatus(response.StatusCode)
 	}
 }
 
--- a/internal/duty/client_test.go
+++ b/internal/duty/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -265,3 +266,22 @@
 		}
 	}
 }
+
+// TestStatusesThatHTTPDoesNotDefineAreNoAnswer keeps the connection open after a status that is neither interim nor final. The
+// call must not wait for another response.
+func TestStatusesThatHTTPDoesNotDefineAreNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		address := respond(t, func(conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\nContent-Length: 0\r\n\r\n")
+			<-t.Context().Done()
+		})
+		response, err := post(t, address)
+		if err == nil {
+			response.Body.Close()
+			t.Errorf("status %s: got status %d, want an error", status, response.StatusCode)
+		}
+		if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("status %s: got error %v, want one before the deadline", status, err)
+		}
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,7 @@
 
 	"swiftbeam/internal/dial"
 	"swiftbeam/internal/fault"
+	"swiftbeam/internal/valid"
 	"swiftbeam/pkg/clock"
 )
 
@@ -314,6 +315,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "call engine")
 	}
+	if err := valid.CheckStatus(r.StatusCode); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "call engine"), r.Body.Close())
+	}
 	if r.StatusCode < http.StatusMultipleChoices {
 		return r, nil
 	}
--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"swiftbeam/internal/ports"
 )
 
@@ -147,3 +149,23 @@
 		}
 	}
 }
+
+// TestStatusesThatHTTPDoesNotDefineAreErrors answers with a whole stream under statuses that no final response has.
+func TestStatusesThatHTTPDoesNotDefineAreErrors(t *testing.T) {
+	const stream = `data: {"choices":[{"index":0,"text":"a","finish_reason":"stop"}]}` + "\n\ndata: [DONE]\n\n"
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		address := serveOnce(t, "HTTP/1.1 "+status+" Odd\r\nContent-Type: text/event-stream\r\n\r\n"+stream, false)
+		c := &Client{HTTP: NewHTTPClient(nil)}
+		end, err := c.Stream(t.Context(), address, Call{Body: []byte("{}")}, func(token string) { t.Errorf("status %s: got token %q, want none", status, token) })
+		if err == nil || !end.Sent {
+			t.Errorf("status %s: got end %+v, error %v, want an error of a call that was sent", status, end, err)
+		}
+		var refusal *StatusError
+		if errors.As(err, &refusal) && refusal.Refused() {
+			t.Errorf("status %s: got error %v, which promises that the call was not run", status, err)
+		}
+		if err := c.Cancel(t.Context(), address, "r"); err == nil {
+			t.Errorf("status %s: got no error of a cancellation, want one", status)
+		}
+	}
+}
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -35,6 +35,7 @@
 	"swiftbeam/internal/spool"
 	"swiftbeam/internal/state"
 	"swiftbeam/internal/store"
+	"swiftbeam/internal/valid"
 	"swiftbeam/pkg/clock"
 )
 
@@ -321,6 +322,9 @@
 		return Answer{}, errors.Wrap(err, "call backend server")
 	}
 	defer response.Body.Close()
+	if err := valid.CheckStatus(response.StatusCode); err != nil {
+		return Answer{}, errors.Wrap(err, "read response")
+	}
 	body, err := c.spool().Read(ctx, spool.Source{Reader: response.Body, Length: response.ContentLength, Server: r.URL.Host, Interrupt: cancel})
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read response")
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -563,3 +563,25 @@
 		}
 	}
 }
+
+// TestStatusesThatHTTPDoesNotDefineAreNoOutcome lets a server answer with statuses that no final response has.
+func TestStatusesThatHTTPDoesNotDefineAreNoOutcome(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+20", "101", "600", "999"} {
+		address, err := ports.Serve(t.Context(), func(conn *net.TCPConn) {
+			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.ReadAll(r.Body)
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nContent-Length: 7\r\n\r\nreceipt", status)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := &Executor{HTTP: engine.NewHTTPClient(nil)}
+		_ = c.Start(t.Context(), &runner.Group{})
+		q := Call{OnceKey: state.OnceKey{Key: "k"}, Method: http.MethodPost, Path: "/", Body: []byte("deposit"), Timeout: clock.Second}
+		answer, err := c.post(q, address)
+		if err == nil || engine.NotSent(err) {
+			t.Errorf("status %s: got answer %+v, error %v, want an unknown outcome", status, answer, err)
+		}
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -31,6 +31,7 @@
 	"github.com/cockroachdb/errors"
 
 	"swiftbeam/internal/dial"
+	"swiftbeam/internal/valid"
 	"swiftbeam/pkg/clock"
 )
 
@@ -416,6 +417,9 @@
 	if err == nil && isMerged(response) {
 		return nil, ErrMergedHeads
 	}
+	if err == nil && !valid.IsInterim(response.StatusCode) {
+		err = valid.CheckStatus(response.StatusCode)
+	}
 	return response, err
 }
 
