intake: requests that are handled have places, of which one account leaves some to others

Callers saw: no answer of an entry daemon or of swiftbeam daemon, not to readiness checks either, or 503 "no server is ready" and "no daemon reaches the servers" with the servers idle. Cause: nothing bounded the requests that were read whole. Those that wait for servers, or whose callers do not read, held all descriptors and all slots of the servers, and up to 64 KB each that the memory for long bodies does not count.

Change: intake.Limits.Enter gives a place to each request once it was read, a quarter of the descriptors and a quarter of the memory at 64 KB each; an account gets three quarters of them. Others are refused with 503 and Retry-After, as nothing was sent. Idle connections make room. The setting runningRequests is checked. Each refusal is counted, and errors that only net/http sees, such as failed handshakes, go to the log once a second instead of one line for each connection.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -107,6 +107,7 @@
 	registry := metrics.NewRegistry()
 	meter.RegisterGauge(registry, "log.linesDropped", logs.Dropped.Load)
 	limits := intake.FromMachine(s.MemoryBytes)
+	limits.SetRunning(s.RunningRequests)
 	limits.Log = log
 	limits.Register(registry)
 	n, err := startNode(ctx, s, log, registry, limits)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,6 +113,7 @@
 	}
 	d := &Daemon{Settings: s, Runner: &runner.Runner{}, Metrics: metrics.NewRegistry(), options: o, limits: intake.FromMachine(s.Memory())}
 	d.limits.Log = o.Log.WithName("intake")
+	d.limits.SetRunning(s.RunningRequests)
 	d.limits.FitHeads(s.Limits.HeaderBytes)
 	if err := d.loadTLS(); err != nil {
 		return nil, err
@@ -191,7 +192,7 @@
 	}
 	d.Entry = &entry.Entry{
 		Self: self.ID, Clock: c, Settings: s, Store: d.Store, Roster: d.Roster, Relay: d.Relay, Once: d.Once,
-		Versions: d.Canary, Guard: d.Guard, LeaseStatus: d.LeaseStatus, Announce: d.Manage.AnnounceHandler(),
+		Versions: d.Canary, Guard: d.Guard, LeaseStatus: d.LeaseStatus, Limits: d.limits, Announce: d.Manage.AnnounceHandler(),
 	}
 	d.Roster.Loads = d.Entry.Loads
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -123,6 +123,7 @@
 	}
 	if o.Limits == nil {
 		o.Limits = intake.FromMachine(s.MemoryBytes)
+		o.Limits.SetRunning(s.RunningRequests)
 	}
 	e := &Edge{
 		Settings: s, options: o, log: o.Log, clock: o.Clock, boot: runner.RandomName(), routedServers: make(map[string]*place.Server),
@@ -134,7 +135,7 @@
 	e.PeerPool = &pool.Pool{Clock: e.clock, MemoryBytes: s.MemoryBytes}
 	e.Proxy = &proxy.Proxy{
 		Zone: s.Zone, Clock: e.clock, Dialect: o.Dialect, Pool: e.Pool, Log: o.Log, ClusterTime: func() clock.Instant { return e.Follower.ClusterTime() },
-		MemoryBytes: s.MemoryBytes, RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure), ColdBurst: turns.Burst(s.Cold),
+		Limits: o.Limits, MemoryBytes: s.MemoryBytes, RequestQuota: e.requestQuota, Exposure: moves.Bound(s.Exposure), ColdBurst: turns.Burst(s.Cold),
 		Retries: retry.Budget{Ratio: retryBudgetFraction * s.Retries.Ratio, Slack: retryBudgetFraction * s.Retries.Slack / assumedEntries, Window: s.Retries.Window},
 	}
 	e.Proxy.ReportCrashes = e.triggerReport
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,7 +64,9 @@
 	Versions    relay.Versions
 	Guard       *guard.Guard
 	LeaseStatus func() lease.Status
-	Stats       Stats
+	// Limits bounds the requests that are handled; nil for no bound.
+	Limits *intake.Limits
+	Stats  Stats
 	// Announce serves the announcements of backend servers; nil disables them.
 	Announce http.Handler
 
@@ -140,6 +142,13 @@
 		if err == nil {
 			account, err = e.authenticate(r)
 		}
+		if err == nil && e.Limits != nil {
+			if e.Limits.Enter(account.Name) {
+				defer e.Limits.Leave(account.Name)
+			} else {
+				err = fault.New(fault.Unavailable, "too many requests are running at this daemon").Remedy("retry after the stated time").WithRetryAfter(1)
+			}
+		}
 		if err != nil {
 			e.refuse(w, err)
 			return
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,6 +40,10 @@
 	// that have arrived and were not read. idleBytes is that of an idle one.
 	connectionBytes = 128 << 10
 	idleBytes       = 32 << 10
+	// requestBytes is what a request that is handled uses on average: its body of up to shortBytes, buffers and stacks.
+	requestBytes = 64 << 10
+	// openParts is the part of the descriptors that connections leave to files and links.
+	openParts = 8
 	// connectionParts is the part of the memory that waiting connections may use, and that idle ones may.
 	connectionParts = 4
 	// defaultMemory is the memory of a process whose settings name none.
@@ -61,6 +65,10 @@
 	// MaxWaiting bounds the connections with an unfinished request or none yet, MaxIdle those between two requests.
 	MaxWaiting int
 	MaxIdle    int
+	// MaxRunning bounds the requests that were read whole and are handled, MaxOpen all connections of clients together with one
+	// to a server for each of these requests. Idle connections are closed for others. Zero for no bound of MaxOpen.
+	MaxRunning int
+	MaxOpen    int
 	// MinWait is the time for which a connection keeps its place in any case, MaxWait that for which it does while bytes
 	// have arrived on it that were not read.
 	MinWait time.Duration
@@ -74,17 +82,23 @@
 	Refused atomic.Int64
 	Closed  atomic.Int64
 	HeldUp  atomic.Int64
+	// Busy counts the requests that Enter refused, ServerErrors the errors that only the servers see.
+	Busy         atomic.Int64
+	ServerErrors atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]*client
 	// placeFree is signalled when a connection stops waiting.
 	placeFree *sync.Cond
-	loggedAt  time.Time
+	loggedAt  [lineKinds]time.Time
 	// used is the memory of the bodies in reading and of those that are held by their handlers.
 	used    int64
 	reading map[*client]bool
 	// counts has the number of connections in each state.
 	counts [running + 1]int
+	// entered is the number of requests that are handled, byAccount that of each account.
+	entered   int
+	byAccount map[string]int
 }
 
 // state is what a connection does.
@@ -104,17 +118,25 @@
 	}
 	share := memoryBytes / connectionParts
 	l := &Limits{
-		BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes),
+		BodyBytes: memoryBytes / memoryParts, MaxWaiting: int(share / connectionBytes), MaxIdle: int(share / idleBytes), MaxRunning: int(share / requestBytes),
 		MinWait: minWait, MaxWait: maxWait, ReadBuffer: dial.ReadBuffer(memoryBytes),
 	}
 	var descriptors syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
 		most := descriptors.Cur / descriptorParts
-		l.MaxWaiting, l.MaxIdle = int(min(uint64(l.MaxWaiting), most)), int(min(uint64(l.MaxIdle), most))
+		l.MaxWaiting, l.MaxIdle, l.MaxRunning = int(min(uint64(l.MaxWaiting), most)), int(min(uint64(l.MaxIdle), most)), int(min(uint64(l.MaxRunning), most))
+		l.MaxOpen = int(descriptors.Cur - descriptors.Cur/openParts)
 	}
 	return l
 }
 
+// SetRunning sets MaxRunning, unless requests is zero.
+func (l *Limits) SetRunning(requests int) {
+	if requests > 0 {
+		l.MaxRunning = requests
+	}
+}
+
 // FitHeads lowers MaxWaiting for servers that take heads of more than HeadBytes.
 func (l *Limits) FitHeads(bytes int) {
 	if bytes > HeadBytes {
@@ -141,7 +163,7 @@
 type clientKey struct{}
 
 // Track makes the limits hold for the connections of a server that does not serve yet. It extends the server's
-// ConnState, ConnContext and Handler.
+// ConnState, ConnContext and Handler, and sets its ErrorLog.
 func (l *Limits) Track(server *http.Server) {
 	l.mu.Lock()
 	if l.placeFree == nil {
@@ -149,6 +171,7 @@
 		l.conns, l.reading = make(map[net.Conn]*client), make(map[*client]bool)
 	}
 	l.mu.Unlock()
+	server.ErrorLog = l.errorLog()
 	outerState, outerContext, next := server.ConnState, server.ConnContext, server.Handler
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		l.observe(conn, state)
@@ -281,7 +304,10 @@
 	meter.RegisterGauge(r, "intake.bodyBytes", l.Used)
 	meter.RegisterGauge(r, "intake.waiting", l.Waiting)
 	meter.RegisterGauge(r, "intake.idle", l.Idle)
+	meter.RegisterGauge(r, "intake.running", l.Running)
 	meter.RegisterGauge(r, "intake.refused", l.Refused.Load)
+	meter.RegisterGauge(r, "intake.busy", l.Busy.Load)
+	meter.RegisterGauge(r, "intake.serverErrors", l.ServerErrors.Load)
 	meter.RegisterGauge(r, "intake.closed", l.Closed.Load)
 	meter.RegisterGauge(r, "intake.heldUp", l.HeldUp.Load)
 }
--- a/internal/intake/place.go
+++ b/internal/intake/place.go
@@ -10,8 +10,6 @@
 const (
 	// unreadPause is the time after which a connection with unread bytes is looked at again.
 	unreadPause = 5 * time.Millisecond
-	// logPause is the least time between two lines of the log.
-	logPause = time.Second
 )
 
 // admit gives a place to a new connection.
@@ -95,16 +93,8 @@
 		return
 	}
 	c.since = time.Now()
-	if l.set(c, idle); l.counts[idle] <= l.MaxIdle {
-		return
-	}
-	oldest := c
-	for _, other := range l.conns {
-		if other.state == idle && other.since.Before(oldest.since) && !other.hasUnread() {
-			oldest = other
-		}
-	}
-	l.closeFor(oldest)
+	l.set(c, idle)
+	l.trimIdle()
 }
 
 // closeFor closes a connection for another one. It unlocks the limits meanwhile.
@@ -112,11 +102,7 @@
 	was, now := c.state, time.Now()
 	c.closed = true
 	l.set(c, none)
-	closed := l.Closed.Add(1)
-	isLogged := now.Sub(l.loggedAt) >= logPause
-	if isLogged {
-		l.loggedAt = now
-	}
+	closed, isLogged := l.Closed.Add(1), l.mayLog(closedLine)
 	l.mu.Unlock()
 	defer l.mu.Lock()
 	if isLogged {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -121,6 +121,14 @@
 	if !x.resolve() {
 		return
 	}
+	if l := p.Limits; l != nil {
+		account := x.accountName()
+		if !l.Enter(account) {
+			x.refuse("too many requests are running at this daemon; retry later", busyRetryAfter)
+			return
+		}
+		defer l.Leave(account)
+	}
 	x.deadline = x.arrived.Add(min(x.request.Wait, x.route.Timeout))
 	ctx, stopWaiting := p.untilStop(x.r.Context())
 	defer stopWaiting()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -23,6 +23,7 @@
 	"swiftbeam/internal/crash"
 	"swiftbeam/internal/detour"
 	"swiftbeam/internal/event"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/moves"
 	"swiftbeam/internal/notice"
 	"swiftbeam/internal/place"
@@ -84,6 +85,8 @@
 	Peers Peers
 	Room  detour.Room
 
+	// Limits bounds the requests that are handled; nil for no bound.
+	Limits *intake.Limits
 	// MemoryBytes is the memory of the process, of which long responses use a part; zero if unknown.
 	MemoryBytes int64
 	// bodies has the memory for responses.
@@ -168,6 +171,8 @@
 	minBodyTime = 10 * clock.Second
 	// noMemoryRetryAfter is the time in which bodies that do not end lose their memory to others.
 	noMemoryRetryAfter = clock.Second
+	// busyRetryAfter is the time in which a part of the running requests ends.
+	busyRetryAfter = clock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal, as callers give up after a longer wait.
 	maxRetryAfter  = 3 * clock.Second
 	defaultTimeout = clock.Minute
--- a/internal/setup/node.go
+++ b/internal/setup/node.go
@@ -47,6 +47,9 @@
 	Losses int
 	// MemoryBytes is the memory limit of the process, which is killed above it.
 	MemoryBytes int64
+	// RunningRequests is the maximum number of callers' requests that an entry daemon handles at the same time; zero derives it
+	// from the memory and the descriptors.
+	RunningRequests int
 	// Processors sets GOMAXPROCS; zero keeps the default, all processors of the VM.
 	Processors  int
 	StopTimeout clock.Duration
@@ -154,6 +157,7 @@
 	s.Losses = int(o.Int("losses", 1, 0, 3))
 	s.PeerToken = o.Text("peerToken", "a secret that all daemons share")
 	s.MemoryBytes = o.Int("memoryMegabytes", 256, minMegabytes, maxMegabytes) << 20
+	s.RunningRequests = readRunningRequests(o)
 	s.Processors = int(o.Int("processors", 0, 0, 1024))
 	s.StopTimeout = o.Duration("stopTimeout", 8*clock.Second)
 	s.readBounds(o)
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -45,7 +45,10 @@
 	CloudAddress string
 	// MemoryBytes is the memory that the process may use; zero for that of the VM, up to a limit.
 	MemoryBytes int64
-	Limits      Limits
+	// RunningRequests is the maximum number of requests that are handled at the same time; zero derives it from the memory and
+	// the descriptors.
+	RunningRequests int
+	Limits          Limits
 }
 
 // Listen contains the listen addresses of a daemon, each an IP address with a port.
@@ -257,6 +260,7 @@
 	s.BalancerLag = o.Duration("balancerLag", 5*clock.Second)
 	s.StopTimeout = o.Duration("stopTimeout", 2*clock.Minute)
 	s.MemoryBytes = o.Int("memoryMegabytes", 0, minMegabytes, maxMegabytes) << 20
+	s.RunningRequests = readRunningRequests(o)
 	s.Limits = DefaultLimits
 	if n, ok := o.Get("limits"); ok {
 		s.readRequestLimits(n.Object())
@@ -266,6 +270,8 @@
 	}
 }
 
+func readRunningRequests(o *jsonc.Object) int { return int(o.Int("runningRequests", 0, 1, 1_000_000)) }
+
 func (s *Settings) readRequestLimits(l *jsonc.Object) {
 	s.Limits.BodyBytes = l.Int("bodyBytes", DefaultLimits.BodyBytes, 1024, 64<<20)
 	s.Limits.HeaderBytes = int(l.Int("headerBytes", int64(DefaultLimits.HeaderBytes), 1024, 1<<20))
