intake: connections that are not accepted yet hold no more unread bytes than others

What was seen: a core daemon of 64 MB used up to 68 MB together with unread bytes while 200 clients played all forms at its operators' listener, and would be killed where those count. Cause: the buffer of a connection was lowered once it was accepted. A crowd fills the greater one before.

Change: the listeners of all processes have the lower buffer, which connections inherit from their start.

--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -188,7 +187,7 @@
 	if address == "" {
 		return
 	}
-	l, err := net.Listen("tcp", address)
+	l, err := limits.Listen("tcp", address)
 	if err != nil {
 		log.Error(err, "cannot serve metrics", "address", address)
 		return
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -268,7 +268,7 @@
 	path, stream := peerpbconnect.NewFeedHandler(c, connect.WithCompressMinBytes(peers.CompressMinBytes))
 	mux.Handle(path, peers.RequireToken(c.Settings.PeerToken, stream))
 	for address, handler := range map[string]http.Handler{c.Settings.Peers: mux, c.Settings.Control: control} {
-		l, err := net.Listen("tcp", address)
+		l, err := c.options.Limits.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,7 +63,7 @@
 	Dial dial.Func
 	// DialBackends overrides how connections to backend servers are opened.
 	DialBackends dial.Func
-	// Listen overrides net.Listen.
+	// Listen overrides how listeners are opened.
 	Listen func(network, address string) (net.Listener, error)
 	// ReplaceAfter overrides the constant ReplaceAfter, the time without a reply after which a voter
 	// is replaced.
@@ -102,9 +102,6 @@
 	if o.Clock == nil {
 		o.Clock = clock.Start()
 	}
-	if o.Listen == nil {
-		o.Listen = net.Listen
-	}
 	if o.Log.GetSink() == nil {
 		o.Log = logr.Discard()
 	}
@@ -112,6 +109,9 @@
 		o.ReplaceAfter = ReplaceAfter
 	}
 	d := &Daemon{Settings: s, Runner: &runner.Runner{}, Metrics: metrics.NewRegistry(), options: o, limits: intake.FromMachine(s.Memory())}
+	if o.Listen == nil {
+		d.options.Listen = d.limits.Listen
+	}
 	d.limits.Log = o.Log.WithName("intake")
 	d.limits.SetRunning(s.RunningRequests)
 	d.limits.FitHeads(s.Limits.HeaderBytes)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -232,7 +232,7 @@
 	}
 	for address, server := range servers {
 		e.options.Limits.Track(server)
-		l, err := net.Listen("tcp", address)
+		l, err := e.options.Limits.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", address)
 		}
