once, entry: answers to calls count until they were written, and each write has a deadline

Callers saw: nothing of a daemon that was killed for want of memory. Cause: swiftbeam daemon gave the memory of an answer back to the spool before it wrote it, so that answers of callers that read nothing were not counted, and it waited for these callers without end. The deadline that a stream set on its writes stayed on the connection after its end.

Change: an answer keeps its memory until it was written or gives it up to others, with 32 MB replaced by the part of memoryMegabytes that entry daemons have. All responses have 30 s, and a second for each 16 KB, to be written, and lift that at their end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -185,7 +185,7 @@
 	d.Roster.RemovalObserver = d.Relay
 	d.Once = &once.Executor{
 		Self: self.Holder(), Clock: c, Journal: d.Store, Servers: d.Roster, HTTP: d.backendClient(), Dial: d.tunnels.DialContext, Observe: d.Canary.Observe,
-		Guard: d.Guard, OnTrial: d.Canary.OnTrial,
+		Guard: d.Guard, OnTrial: d.Canary.OnTrial, MemoryBytes: s.Memory(),
 	}
 	d.Manage = &manage.Server{
 		Clock: c, Settings: s, Runner: d.Runner, Store: d.Store, Roster: d.Roster, Metrics: d.Metrics, Self: self,
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -166,12 +166,14 @@
 	w.Header().Set(RequestIDHeader, record.ID)
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
+	defer limitWrite(w, 0)()
 	_ = controller.Flush()
 	for {
 		tokens, end, err := e.nextTokens(q.Context(), record, first)
 		if err != nil {
 			return false
 		}
+		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Std()))
 		for _, token := range tokens {
 			first++
 			writeEvent(w, first, e.newChunk(record, token))
@@ -183,15 +185,26 @@
 			e.writeEnd(w, record, first, end)
 			return controller.Flush() == nil && end.Failure == ""
 		}
-		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Std()))
 		if controller.Flush() != nil {
 			return false
 		}
 	}
 }
 
-// writeTimeout bounds one write, so that a caller that reads too slowly is disconnected.
-const writeTimeout = 30 * clock.Second
+const (
+	// writeTimeout bounds one write, so that a caller that reads too slowly is disconnected.
+	writeTimeout = 30 * clock.Second
+	// leastRate is the rate, in bytes a second, at which callers must read long responses beyond writeTimeout.
+	leastRate = 16 << 10
+)
+
+// limitWrite sets the time until which a response of a number of bytes must be written. The returned function lifts the limit,
+// as it would end later responses on a kept connection.
+func limitWrite(w http.ResponseWriter, bytes int) (lift func()) {
+	controller := http.NewResponseController(w)
+	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Std() + time.Duration(bytes/leastRate)*time.Second))
+	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
+}
 
 // nextTokens waits until the token at index first exists and returns all tokens from there on. While it
 // waits, it reports to the relay that the caller is connected.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -294,6 +294,7 @@
 	data = append(data, '\n')
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	defer limitWrite(w, len(data))()
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 	"unicode/utf8"
 
 	"swiftbeam/internal/crash"
@@ -72,6 +73,7 @@
 		},
 	}
 	answer, err := e.runCall(q, route, c)
+	defer answer.Release()
 	w.Header().Set(RequestIDHeader, id)
 	switch {
 	case err == nil:
@@ -121,6 +123,10 @@
 	if len(a.Body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
+	defer limitWrite(w, len(a.Body))()
+	// Before the limit is lifted.
+	defer a.Release()
+	a.Interrupt(func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -54,9 +54,7 @@
 	// RecordTimeout.
 	CleanupTimeout = clock.Minute
 	// MaxAnswerBytes is the maximum size of a backend server's response body.
-	MaxAnswerBytes = 16 << 20
-	// maxBuffered bounds all long answers together while they are read.
-	maxBuffered     = 32 << 20
+	MaxAnswerBytes  = 16 << 20
 	maxSendAttempts = 3
 )
 
@@ -84,6 +82,20 @@
 	// Replayed reports that the answer is the recorded outcome of an earlier request with the same
 	// key.
 	Replayed bool
+
+	// memory is that of Body; nil if the journal has it.
+	memory *spool.Body
+}
+
+// Release returns the memory of the answer once it is not used any more.
+func (a *Answer) Release() { a.memory.Release() }
+
+// Interrupt sets a function that is called when the answer gives up its memory to others, for instance to end a write to a
+// caller that does not read. It must not block.
+func (a *Answer) Interrupt(f func()) {
+	if a.memory != nil {
+		a.memory.Interrupt(f)
+	}
 }
 
 // Journal is the replicated record of calls; store.Store implements it.
@@ -133,6 +145,8 @@
 	// Observe receives the result of each call as evidence on its version; it may be nil.
 	Observe func(moves.Observation)
 	Stats   Stats
+	// MemoryBytes is the memory of the process, of which long answers use a part; zero if unknown.
+	MemoryBytes int64
 
 	bodies     spool.Spool
 	bodiesOnce sync.Once
@@ -329,13 +343,13 @@
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read response")
 	}
-	defer body.Release()
 	if endsWithConnection(response) {
 		if err := c.confirmAlive(r.Context(), r.URL.Host); err != nil {
+			body.Release()
 			return Answer{}, err
 		}
 	}
-	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: bytes.Join(body.Blocks, nil)}, nil
+	return Answer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body.Join(), memory: body}, nil
 }
 
 // endsWithConnection reports whether nothing but the end of the connection marks the end of a response.
@@ -361,9 +375,9 @@
 	return conn.Close()
 }
 
-// spool returns the memory for answers while they are read.
+// spool returns the memory for answers until they are released.
 func (c *Executor) spool() *spool.Spool {
-	c.bodiesOnce.Do(func() { c.bodies.MaxBytes, c.bodies.TotalBytes = MaxAnswerBytes, maxBuffered })
+	c.bodiesOnce.Do(func() { c.bodies.MaxBytes, c.bodies.TotalBytes = MaxAnswerBytes, spool.TotalFor(c.MemoryBytes) })
 	return &c.bodies
 }
 
@@ -384,6 +398,9 @@
 		return Answer{}, false
 	}
 	answer, err := c.read(r)
+	if err == nil && answer.Status >= http.StatusMultipleChoices {
+		answer.Release()
+	}
 	return answer, err == nil && answer.Status < http.StatusMultipleChoices
 }
 
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -13,6 +13,7 @@
 package spool
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"slices"
@@ -319,15 +320,27 @@
 	}
 }
 
+// Join returns the body as one slice in place of the blocks. The slice is valid after Release, too, but its memory counts until
+// then.
+func (b *Body) Join() []byte {
+	joined := bytes.Join(b.Blocks, nil)
+	b.freeBlocks()
+	return joined
+}
+
+func (b *Body) freeBlocks() {
+	for _, block := range b.Blocks {
+		freeBlock(block)
+	}
+	b.Blocks = nil
+}
+
 // Release returns the memory of the body, which may be nil.
 func (b *Body) Release() {
 	if b == nil {
 		return
 	}
-	for _, block := range b.Blocks {
-		freeBlock(block)
-	}
-	b.Blocks = nil
+	b.freeBlocks()
 	s := b.spool
 	s.mu.Lock()
 	defer s.mu.Unlock()
