stream, relay, intake: chats count as long as they are kept, and drop their bodies at the end

Callers saw: nothing of a daemon that was killed for want of memory. Cause: swiftbeam daemon keeps the record of a chat, with its body, for 30 s after the answer, so that callers can resume, and relays on for a while after a caller has left. The memory of the body was free for others when the handler returned. The garbage collector let the heap double.

Change: intake.Keep keeps the memory of a body until the daemon no longer relays the chat. A record drops the body at its end, as callers who resume need the tokens alone. swiftbeam daemon runs the collector as entry and core daemons do.

--- a/cmd/swiftbeam/daemon.go
+++ b/cmd/swiftbeam/daemon.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -70,7 +69,7 @@
 // runDaemon runs a daemon until the first SIGTERM or interrupt, and then stops it gracefully. A second
 // signal exits at once with a failure.
 func runDaemon(ctx context.Context, s *setup.Settings) error {
-	debug.SetMemoryLimit(runtimeBytes(s.Memory()))
+	limitRuntime(s.Memory())
 	// From before the listeners open, as a signal without a handler ends the process at once.
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
--- a/cmd/swiftbeam/node.go
+++ b/cmd/swiftbeam/node.go
@@ -77,11 +77,16 @@
 	return max(min(memoryBytes*memoryPercent/100, memoryBytes-outsideBytes), memoryBytes/2)
 }
 
+// limitRuntime makes the garbage collector keep the process within its memory.
+func limitRuntime(memoryBytes int64) {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(runtimeBytes(memoryBytes))
+}
+
 // runNode runs an entry or core daemon until the first SIGTERM or interrupt, and then stops it gracefully.
 // At a second signal it ends all requests at once and exits with a failure, at a third it exits.
 func runNode(ctx context.Context, s *setup.Node, path string) error {
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(runtimeBytes(s.MemoryBytes))
+	limitRuntime(s.MemoryBytes)
 	if s.Processors > 0 {
 		// The Go scheduler's idle processors spin while they look for work, which is expensive where the
 		// VM has only a fraction of a core.
--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -20,6 +20,7 @@
 	"swiftbeam/internal/engine"
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/guard"
+	"swiftbeam/internal/intake"
 	"swiftbeam/internal/stream"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
@@ -138,7 +139,11 @@
 	if err := e.admission.admit(ctx, r.Service, q.account, route); err != nil {
 		return nil, err
 	}
-	done := e.releaseAfter(r.Service, q.account.Name)
+	leave, release := e.releaseAfter(r.Service, q.account.Name), intake.Keep(q.Request)
+	done := func() {
+		leave()
+		release()
+	}
 	if err := e.checkAccepting(); err != nil {
 		done()
 		return nil, err
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -280,6 +280,24 @@
 	delete(l.reading, c)
 }
 
+// Keep keeps the memory of the body of a request beyond its handler, until release is called.
+func Keep(r *http.Request) (release func()) {
+	c := clientOf(r)
+	if c == nil {
+		return func() {}
+	}
+	l := c.limits
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := c.share
+	c.share = 0
+	return sync.OnceFunc(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.used -= kept
+	})
+}
+
 // Waiting returns the number of connections that wait.
 func (l *Limits) Waiting() int64 { return l.count(waiting) }
 
--- a/internal/intake/running_test.go
+++ b/internal/intake/running_test.go
@@ -91,3 +91,36 @@
 		t.Errorf("counted errors: got %d, want %d", got, want)
 	}
 }
+
+// TestKeptMemoryCountsUntilItIsReleased keeps the memory of a body beyond the handler of its request.
+func TestKeptMemoryCountsUntilItIsReleased(t *testing.T) {
+	l := &Limits{MaxWaiting: 4, MaxIdle: 4, BodyBytes: 1 << 20}
+	release := make(chan func(), 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := Read(r, 1<<20, time.Time{}); err != nil {
+			t.Errorf("got error %v, want none", err)
+		}
+		release <- Keep(r)
+	}), ReadHeaderTimeout: time.Second}
+	l.Track(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	response, err := http.Post("http://"+listener.Addr().String(), "text/plain", bytes.NewReader(make([]byte, 512<<10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if got := l.Used(); got < 512<<10 {
+		t.Errorf("memory after the handler: got %d bytes, want those of the body", got)
+	}
+	end := <-release
+	end()
+	end()
+	if got := l.Used(); got != 0 {
+		t.Errorf("memory after the release: got %d bytes, want none", got)
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -114,7 +114,7 @@
 
 func (s *session) engineCall() engine.Call {
 	return engine.Call{
-		ID: s.record.ID, Body: s.record.Body, Chat: s.record.Chat, Priority: int(s.route.Priority),
+		ID: s.record.ID, Body: s.record.Prompt(), Chat: s.record.Chat, Priority: int(s.route.Priority),
 	}
 }
 
@@ -198,7 +198,7 @@
 
 // acquire selects a server for the next attempt, and returns its version too.
 func (s *session) acquire(ctx context.Context, avoid string) (*roster.Grant, string, error) {
-	prompt := string(s.record.Body)
+	prompt := string(s.record.Prompt())
 	prefixes := route.Prefixes(nil, prompt)
 	requirements := func() roster.Requirements {
 		n := roster.Requirements{Service: s.record.Service, Prefixes: prefixes, Avoid: avoid}
@@ -445,10 +445,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, gap := s.latencies()
-	generated := len(s.record.State().Tokens)
+	generated, prompt := len(s.record.State().Tokens), s.record.Prompt()
 	return drain.Stream{
-		ID: id, Priority: s.route.Priority, CachedTokens: generated + len(s.record.Body)/bytesPerToken,
-		Remaining: max(maxTokens(s.record.Body)-generated, 1), TokenGap: max(gap, 1),
+		ID: id, Priority: s.route.Priority, CachedTokens: generated + len(prompt)/bytesPerToken,
+		Remaining: max(maxTokens(prompt)-generated, 1), TokenGap: max(gap, 1),
 	}
 }
 
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -24,7 +24,7 @@
 	"swiftbeam/pkg/clock"
 )
 
-// Request is the immutable part of an accepted request.
+// Request is what a caller asked for. It does not change, except that a record drops the body at its end.
 type Request struct {
 	ID      string
 	Account string
@@ -117,9 +117,17 @@
 		return
 	}
 	r.done, r.finish, r.endedAt = true, finish, now
+	r.Body = nil
 	r.notify()
 }
 
+// Prompt returns the body of the request; nil once the record has ended.
+func (r *Record) Prompt() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Body
+}
+
 // Show makes the first count tokens visible to callers.
 func (r *Record) Show(count int) {
 	r.mu.Lock()
@@ -230,11 +238,12 @@
 
 // Segment returns the part that a mirror with the given number of tokens still lacks.
 func (r *Record) Segment(first int) Segment {
-	s := r.State()
-	first = min(first, len(s.Tokens))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first = min(first, len(r.tokens))
 	return Segment{
-		Request: r.Request, Version: s.Version, Holder: s.Holder, Epoch: s.Epoch,
-		First: first, Tokens: s.Tokens[first:], Done: s.Done, Finish: s.Finish, Failure: s.Failure,
+		Request: r.Request, Version: r.version, Holder: r.holder, Epoch: r.epoch,
+		First: first, Tokens: slices.Clip(r.tokens)[first:], Done: r.done, Finish: r.finish, Failure: r.failure,
 	}
 }
 
@@ -254,6 +263,7 @@
 	r.visible = len(r.tokens)
 	if s.Done && !r.done && len(r.tokens) == s.First+len(s.Tokens) {
 		r.done, r.finish, r.failure, r.endedAt = true, s.Finish, s.Failure, now
+		r.Body = nil
 	}
 	r.notify()
 	return true
