entry: a request takes its place once its body was read

Callers saw: 503 "too many requests are running" beside clients that stop in their bodies, which waited with a place. Found by reading; the crowd of half bodies of the same account passed, as the intake closes the connection that has waited longest, whose place is free then.

Change: the handlers take the place after the body. Seen: the cases of TestCallersOfADaemonFitIntoMemory with half a body and those of TestWholeRequestsLeaveDescriptors, TestCallersThatReadNothingHoldUpNobody and TestChatsFitIntoMemory pass.

--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -49,6 +49,12 @@
 		e.refuse(w, err)
 		return
 	}
+	leave, err := e.enter(q)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer leave()
 	fields, param, err := parseCompletion(body, chat)
 	if err != nil {
 		e.Stats.Refused.Add(1)
@@ -324,6 +330,12 @@
 		e.writeError(w, err, ErrorDetail{})
 		return
 	}
+	leave, err := e.enter(q)
+	if err != nil {
+		e.writeError(w, err, ErrorDetail{RequestID: id})
+		return
+	}
+	defer leave()
 	record, err := e.Relay.Find(q.Context(), id, q.account.Name, have)
 	if fault.KindOf(err) == fault.Missing {
 		e.outcome(w, q, id)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,13 +142,6 @@
 		if err == nil {
 			account, err = e.authenticate(r)
 		}
-		if err == nil && e.Limits != nil {
-			if e.Limits.Enter(account.Name) {
-				defer e.Limits.Leave(account.Name)
-			} else {
-				err = fault.New(fault.Unavailable, "too many requests are running at this daemon").Remedy("retry after the stated time").WithRetryAfter(1)
-			}
-		}
 		if err != nil {
 			e.refuse(w, err)
 			return
@@ -157,6 +150,17 @@
 	}
 }
 
+// enter takes a place for a request that was read whole. Without an error the caller calls leave at its end.
+func (e *Entry) enter(q *callerRequest) (leave func(), err error) {
+	if e.Limits == nil {
+		return func() {}, nil
+	}
+	if !e.Limits.Enter(q.account.Name) {
+		return nil, fault.New(fault.Unavailable, "too many requests are running at this daemon").Remedy("retry after the stated time").WithRetryAfter(1)
+	}
+	return func() { e.Limits.Leave(q.account.Name) }, nil
+}
+
 // checkCaughtUp returns an error while this daemon does not yet have the present configuration, so
 // that it can neither check an API key nor look up a request ID.
 func (e *Entry) checkCaughtUp() error {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -30,6 +30,12 @@
 		e.refuse(w, err)
 		return
 	}
+	leave, err := e.enter(q)
+	if err != nil {
+		e.refuse(w, err)
+		return
+	}
+	defer leave()
 	suspects := guard.CallSuspects(q.account.Name, service.Name, q.Method, q.URL.RequestURI(), body)
 	if err := e.Guard.Admit(q.Context(), suspects); err != nil {
 		e.refuse(w, err)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,10 +12,18 @@
 // listeners. Of more than MaxIdle connections between two requests, the one that is idle for longest is closed. A body of
 // more than shortBytes takes its memory from BodyBytes as it arrives, until the handler returns. When that is used up, the
 // body that has made no progress for longest gives up its memory; if all make progress, the new one fails with ErrFull.
+//
+// A handler takes a place of MaxRunning for each request that it has read, of which one account leaves some to others:
+//
+//	if !limits.Enter(account) {
+//		... // refuse it
+//	}
+//	defer limits.Leave(account)
 package intake
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -125,7 +133,7 @@
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors) == nil {
 		most := descriptors.Cur / descriptorParts
 		l.MaxWaiting, l.MaxIdle, l.MaxRunning = int(min(uint64(l.MaxWaiting), most)), int(min(uint64(l.MaxIdle), most)), int(min(uint64(l.MaxRunning), most))
-		l.MaxOpen = int(descriptors.Cur - descriptors.Cur/openParts)
+		l.MaxOpen = int(min(descriptors.Cur-descriptors.Cur/openParts, math.MaxInt32))
 	}
 	return l
 }
--- a/internal/intake/log.go
+++ b/internal/intake/log.go
@@ -39,10 +39,10 @@
 func (e errorLines) Write(text []byte) (int, error) {
 	l := e.limits
 	l.mu.Lock()
-	errors, isLogged := l.ServerErrors.Add(1), l.mayLog(serverLine)
+	count, isLogged := l.ServerErrors.Add(1), l.mayLog(serverLine)
 	l.mu.Unlock()
 	if isLogged {
-		l.Log.Info("connection failed", "error", strings.TrimSpace(string(text)), "errors", errors)
+		l.Log.Info("connection failed", "error", strings.TrimSpace(string(text)), "errors", count)
 	}
 	return len(text), nil
 }
