setup: the time to read a response is a setting of swiftbeam daemon

Cause: the time in which callers must read a response was a constant, new for answers to calls; callers on slow links may need more.

--- a/internal/entry/complete.go
+++ b/internal/entry/complete.go
@@ -21,6 +21,7 @@
 	"swiftbeam/internal/fault"
 	"swiftbeam/internal/guard"
 	"swiftbeam/internal/intake"
+	"swiftbeam/internal/setup"
 	"swiftbeam/internal/stream"
 	"swiftbeam/pkg/clock"
 	"swiftbeam/pkg/fleet"
@@ -177,14 +178,14 @@
 	w.Header().Set(RequestIDHeader, record.ID)
 	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
-	defer limitWrite(w, 0)()
+	defer e.limitWrite(w, 0)()
 	_ = controller.Flush()
 	for {
 		tokens, end, err := e.nextTokens(q.Context(), record, first)
 		if err != nil {
 			return false
 		}
-		_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Std()))
+		_ = controller.SetWriteDeadline(time.Now().Add(e.writeTime(0)))
 		for _, token := range tokens {
 			first++
 			writeEvent(w, first, e.newChunk(record, token))
@@ -202,18 +203,23 @@
 	}
 }
 
-const (
-	// writeTimeout bounds one write, so that a caller that reads too slowly is disconnected.
-	writeTimeout = 30 * clock.Second
-	// leastRate is the rate, in bytes a second, at which callers must read long responses beyond writeTimeout.
-	leastRate = 16 << 10
-)
+// pieceBytes is the size of the pieces of a long response, each of which callers have the write timeout for.
+const pieceBytes = 512 << 10
+
+// writeTime returns the time in which a caller must read a response of a number of bytes.
+func (e *Entry) writeTime(bytes int) time.Duration {
+	timeout := setup.DefaultLimits.WriteTimeout
+	if e.Settings != nil {
+		timeout = e.Settings.Limits.WriteTimeout
+	}
+	return timeout.Std() * time.Duration(1+bytes/pieceBytes)
+}
 
 // limitWrite sets the time until which a response of a number of bytes must be written. The returned function lifts the limit,
 // as it would end later responses on a kept connection.
-func limitWrite(w http.ResponseWriter, bytes int) (lift func()) {
+func (e *Entry) limitWrite(w http.ResponseWriter, bytes int) (lift func()) {
 	controller := http.NewResponseController(w)
-	_ = controller.SetWriteDeadline(time.Now().Add(writeTimeout.Std() + time.Duration(bytes/leastRate)*time.Second))
+	_ = controller.SetWriteDeadline(time.Now().Add(e.writeTime(bytes)))
 	return func() { _ = controller.SetWriteDeadline(time.Time{}) }
 }
 
@@ -305,7 +311,7 @@
 			e.writeError(w, fault.New(fault.Unknown, "%s", end.Failure), ErrorDetail{RequestID: record.ID})
 			return
 		}
-		writeJSON(w, http.StatusOK, e.completionAnswer(record, text.String(), count, end.Finish))
+		e.writeJSON(w, http.StatusOK, e.completionAnswer(record, text.String(), count, end.Finish))
 		return
 	}
 }
@@ -395,5 +401,5 @@
 		}
 	}
 	slices.SortFunc(list.Data, func(a, b Model) int { return strings.Compare(a.ID, b.ID) })
-	writeJSON(w, http.StatusOK, list)
+	e.writeJSON(w, http.StatusOK, list)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -111,7 +111,7 @@
 }
 
 func (e *Entry) health(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, HealthAnswer{Status: "ok"})
+	e.writeJSON(w, http.StatusOK, HealthAnswer{Status: "ok"})
 }
 
 // HealthAnswer is the response of the health and readiness checks.
@@ -125,7 +125,7 @@
 	if !leaseStatus.Accepts() {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, HealthAnswer{Status: strings.ToLower(leaseStatus.String())})
+	e.writeJSON(w, status, HealthAnswer{Status: strings.ToLower(leaseStatus.String())})
 }
 
 // callerRequest is a request with the client account that was authenticated for it.
@@ -272,7 +272,7 @@
 	}
 	d.Message = err.Error()
 	d.Type = errorType(kind)
-	writeJSON(w, status, ErrorAnswer{Error: d})
+	e.writeJSON(w, status, ErrorAnswer{Error: d})
 }
 
 func errorType(k fault.Kind) string {
@@ -289,7 +289,7 @@
 	return "server_error"
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+func (e *Entry) writeJSON(w http.ResponseWriter, status int, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -298,7 +298,7 @@
 	data = append(data, '\n')
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	defer limitWrite(w, len(data))()
+	defer e.limitWrite(w, len(data))()
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -129,7 +129,7 @@
 	if len(a.Body) > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
-	defer limitWrite(w, len(a.Body))()
+	defer e.limitWrite(w, len(a.Body))()
 	// Before the limit is lifted.
 	defer a.Release()
 	a.Interrupt(func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Now()) })
@@ -152,7 +152,7 @@
 		e.writeError(w, fault.New(fault.Missing, "no request %q", id).Remedy("check the ID and the client account"), ErrorDetail{})
 		return
 	}
-	writeJSON(w, http.StatusOK, OutcomeAnswer{
+	e.writeJSON(w, http.StatusOK, OutcomeAnswer{
 		RequestID: id, Outcome: outcomeNames[found.Outcome], Status: found.Status, Body: string(found.Body),
 		BodyOmitted: found.BodyOmitted,
 	})
--- a/internal/intake/running_test.go
+++ b/internal/intake/running_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +10,20 @@
 	"github.com/go-logr/logr/funcr"
 )
 
+// serve serves a handler within limits and returns its URL.
+func serve(t *testing.T, l *Limits, handler http.HandlerFunc) string {
+	t.Helper()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	l.Track(server)
+	listener, err := l.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return "http://" + listener.Addr().String()
+}
+
 // TestOneAccountLeavesPlacesToOthers fills the places of running requests with those of one account.
 func TestOneAccountLeavesPlacesToOthers(t *testing.T) {
 	l := &Limits{MaxRunning: 8}
@@ -41,19 +54,12 @@
 // TestRunningRequestsTakeThePlacesOfIdleConnections keeps connections open while requests take their descriptors.
 func TestRunningRequestsTakeThePlacesOfIdleConnections(t *testing.T) {
 	l := &Limits{MaxWaiting: 8, MaxIdle: 8, MaxRunning: 8, MaxOpen: 8}
-	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Second}
-	l.Track(server)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
+	url := serve(t, l, func(http.ResponseWriter, *http.Request) {})
 	var kept []*http.Transport
 	for range 6 {
 		transport := &http.Transport{}
 		kept = append(kept, transport)
-		response, err := (&http.Client{Transport: transport}).Get("http://" + listener.Addr().String())
+		response, err := (&http.Client{Transport: transport}).Get(url)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -96,20 +102,13 @@
 func TestKeptMemoryCountsUntilItIsReleased(t *testing.T) {
 	l := &Limits{MaxWaiting: 4, MaxIdle: 4, BodyBytes: 1 << 20}
 	release := make(chan func(), 1)
-	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	url := serve(t, l, func(_ http.ResponseWriter, r *http.Request) {
 		if _, err := Read(r, 1<<20, time.Time{}); err != nil {
 			t.Errorf("got error %v, want none", err)
 		}
 		release <- Keep(r)
-	}), ReadHeaderTimeout: time.Second}
-	l.Track(server)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
-	response, err := http.Post("http://"+listener.Addr().String(), "text/plain", bytes.NewReader(make([]byte, 512<<10)))
+	})
+	response, err := http.Post(url, "text/plain", bytes.NewReader(make([]byte, 512<<10)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -82,6 +82,8 @@
 	HeaderBytes int
 	// ReadTimeout is the time within which a complete request must arrive.
 	ReadTimeout clock.Duration
+	// WriteTimeout is the time in which a caller must read a piece of a stream, or half a megabyte of another response.
+	WriteTimeout clock.Duration
 	// Queue is the maximum number of requests that wait for a backend server of one service.
 	Queue int
 }
@@ -276,6 +278,7 @@
 	s.Limits.BodyBytes = l.Int("bodyBytes", DefaultLimits.BodyBytes, 1024, 64<<20)
 	s.Limits.HeaderBytes = int(l.Int("headerBytes", int64(DefaultLimits.HeaderBytes), 1024, 1<<20))
 	s.Limits.ReadTimeout = l.Duration("readTimeout", DefaultLimits.ReadTimeout)
+	s.Limits.WriteTimeout = l.Duration("writeTimeout", DefaultLimits.WriteTimeout)
 	s.Limits.Queue = int(l.Int("queue", int64(DefaultLimits.Queue), 1, 1_000_000))
 	l.End()
 }
@@ -288,4 +291,4 @@
 )
 
 // DefaultLimits applies to each limit that the settings omit.
-var DefaultLimits = Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, ReadTimeout: 10 * clock.Second, Queue: 1024}
+var DefaultLimits = Limits{BodyBytes: 1 << 20, HeaderBytes: 32 << 10, ReadTimeout: 10 * clock.Second, WriteTimeout: 30 * clock.Second, Queue: 1024}
