--- /dev/null
+++ b/review/_tools-3/probe/budget.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func init() { cases["budget"] = playBudget }
+
+const budgetRules = `{"version": 1, "routes": [
+ {"name": "look", "host": "desk.example", "pathPrefix": "/look/", "kind": "idempotent", "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 0, "service": "ledger", "maxAttempts": 2}],
+ "services": [{"name": "ledger", "healthPath": "/healthz", "maxConnections": 100}],
+ "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+ "tenants": [{"name": "shop", "apiKeys": ["key-1"]}]}`
+
+// arrival is a request at a replica.
+type arrival struct {
+	at    time.Time
+	again bool
+}
+
+func playBudget(p *play) (int, error) {
+	f := newFleet(p.binary, p.folder, 3, 3, 284, p.record)
+	defer f.stop()
+	if err := f.start(); err != nil {
+		return unable, err
+	}
+	if err := f.order("/Config.Replace", budgetRules); err != nil {
+		return unable, err
+	}
+	var mu sync.Mutex
+	var sent []time.Time
+	var arrivals []arrival
+	seen := make(map[string]bool)
+	for i := range 3 {
+		slots := make(chan struct{}, 2)
+		handle := func(s *server, conn net.Conn, r *http.Request, _ []byte) bool {
+			id := r.Header.Get("Attempt-Id")
+			mu.Lock()
+			arrivals = append(arrivals, arrival{time.Now(), seen[id]})
+			seen[id] = true
+			mu.Unlock()
+			select {
+			case slots <- struct{}{}:
+			default:
+				p.printf("%s rejects %s", s.id, id)
+				return s.whole(conn, r, 503, "Not-Executed: 1\r\n", "full")
+			}
+			p.printf("%s runs %s", s.id, id)
+			time.Sleep(600 * time.Millisecond)
+			<-slots
+			return s.whole(conn, r, 200, "", "fine")
+		}
+		if err := f.addServer(&server{id: fmt.Sprintf("i-%d", i+1), service: "ledger", slots: 2, handle: handle}, i); err != nil {
+			return unable, err
+		}
+	}
+	if err := f.awaitReady(); err != nil {
+		return unable, err
+	}
+	time.Sleep(2 * time.Second)
+	end := time.Now().Add(30 * time.Second)
+	var work sync.WaitGroup
+	if p.trouble {
+		work.Go(func() {
+			time.Sleep(10 * time.Second)
+			for range 3 {
+				for _, e := range f.entries[:2] {
+					e.mu.Lock()
+					e.wanted = false
+					e.mu.Unlock()
+					e.signal(syscall.SIGKILL)
+				}
+				p.printf("entry-1 and entry-2 are killed")
+				time.Sleep(300 * time.Millisecond)
+				for _, e := range f.entries[:2] {
+					_ = f.launch(e)
+				}
+				time.Sleep(3200 * time.Millisecond)
+			}
+		})
+	}
+	for n := 0; time.Now().Before(end); n++ {
+		e, id := f.entries[n%3], fmt.Sprintf("r%d", n)
+		mu.Lock()
+		sent = append(sent, time.Now())
+		mu.Unlock()
+		work.Go(func() {
+			status, _ := send(e.ip, "GET", "/look/"+id, id, "key-1", "", 4*time.Second)
+			p.printf("%s at %s: %d", id, e.name, status)
+		})
+		time.Sleep(40 * time.Millisecond)
+	}
+	work.Wait()
+	return checkBudget(p, sent, arrivals), nil
+}
+
+// checkBudget checks the retry budget in all windows that begin with a repeat.
+func checkBudget(p *play, sent []time.Time, arrivals []arrival) int {
+	const window, ratio, slack = 10 * time.Second, 0.2, 54
+	requests := func(from time.Time) int {
+		i := sort.Search(len(sent), func(i int) bool { return !sent[i].Before(from) })
+		j := sort.Search(len(sent), func(i int) bool { return !sent[i].Before(from.Add(window)) })
+		return j - i
+	}
+	worst, result := -1e9, held
+	for i, first := range arrivals {
+		if !first.again {
+			continue
+		}
+		repeats := 0
+		for _, a := range arrivals[i:] {
+			if a.again && a.at.Before(first.at.Add(window)) {
+				repeats++
+			}
+		}
+		most := max(requests(first.at), requests(first.at.Add(-window)), requests(first.at.Add(-window/2)))
+		allowed := ratio*float64(most) + slack
+		if over := float64(repeats) - allowed; over > worst {
+			worst = over
+			p.printf("window from %.3f: %d repeats, %d requests, %.1f allowed", first.at.Sub(p.began).Seconds(), repeats, most, allowed)
+		}
+		if float64(repeats) > allowed {
+			result = broken
+		}
+	}
+	return result
+}
