--- a/review/_tools-3/probe/budget.go
+++ b/review/_tools-3/probe/budget.go
@@ -24,8 +24,17 @@
 	again bool
 }
 
+// One half of the entry daemons and the other are killed by turns, herds times.
+const (
+	herds     = 8
+	herdPause = 1500 * time.Millisecond
+	// A replica runs a request for runTime, so that few fit, and clients send one each budgetPause.
+	runTime     = 1200 * time.Millisecond
+	budgetPause = 40 * time.Millisecond
+)
+
 func playBudget(p *play) (int, error) {
-	f := newFleet(p.binary, p.folder, 3, 3, 284, p.record)
+	f := newFleet(p.binary, p.folder, 3, 4, 284, p.record)
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
@@ -52,7 +61,7 @@
 				return s.whole(conn, r, 503, "Not-Executed: 1\r\n", "full")
 			}
 			p.printf("%s runs %s", s.id, id)
-			time.Sleep(600 * time.Millisecond)
+			time.Sleep(runTime)
 			<-slots
 			return s.whole(conn, r, 200, "", "fine")
 		}
@@ -69,24 +78,25 @@
 	if p.trouble {
 		work.Go(func() {
 			time.Sleep(10 * time.Second)
-			for range 3 {
-				for _, e := range f.entries[:2] {
+			for n := range herds {
+				half := f.entries[2*(n%2):][:2]
+				for _, e := range half {
 					e.mu.Lock()
 					e.wanted = false
 					e.mu.Unlock()
 					e.signal(syscall.SIGKILL)
 				}
-				p.printf("entry-1 and entry-2 are killed")
+				p.printf("%s and %s are killed", half[0].name, half[1].name)
 				time.Sleep(300 * time.Millisecond)
-				for _, e := range f.entries[:2] {
+				for _, e := range half {
 					_ = f.launch(e)
 				}
-				time.Sleep(3200 * time.Millisecond)
+				time.Sleep(herdPause)
 			}
 		})
 	}
 	for n := 0; time.Now().Before(end); n++ {
-		e, id := f.entries[n%3], fmt.Sprintf("r%d", n)
+		e, id := f.entries[n%len(f.entries)], fmt.Sprintf("r%d", n)
 		mu.Lock()
 		sent = append(sent, time.Now())
 		mu.Unlock()
@@ -94,7 +104,7 @@
 			status, _ := send(e.ip, "GET", "/look/"+id, id, "key-1", "", 4*time.Second)
 			p.printf("%s at %s: %d", id, e.name, status)
 		})
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(budgetPause)
 	}
 	work.Wait()
 	return checkBudget(p, sent, arrivals), nil
