--- a/review/_tools-3/probe/answers.go
+++ b/review/_tools-3/probe/answers.go
@@ -14,7 +14,7 @@
 // Requests of the case: at one entry daemon, of clients that leave after the gap of the pages, eight times a pause of 800 ms.
 const (
 	answersTime  = 16 * time.Second
-	streamPause  = 16 * time.Millisecond
+	streamPause  = 12 * time.Millisecond
 	clientGap    = 6400 * time.Millisecond
 	faultyServer = 16
 )
