--- a/review/_tools-3/probe/fleet.go
+++ b/review/_tools-3/probe/fleet.go
@@ -154,6 +154,7 @@
 // cloud accepts each call of a duty once for a window.
 func (f *fleet) cloud(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	f.record.printf("platform gets %s of %s with fence %s: %.120s", r.URL.Path, r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token"), body)
 	f.usageMu.Lock()
 	f.usage = append(f.usage, fmt.Sprintf("%s %s fence %s: %s", r.URL.Path, r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token"), body))
 	f.usageMu.Unlock()
