--- a/review/_tools-3/probe/answers.go
+++ b/review/_tools-3/probe/answers.go
@@ -4,16 +4,15 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 )
 
 func init() { cases["answers"] = playAnswers }
 
-// Requests of the case: at one entry daemon, of clients that leave after the gap of the pages, eight times a pause of 800 ms.
+// Requests of the case: at each entry daemon, of clients that leave after the gap of the pages, eight times a pause of 800 ms.
 const (
-	answersTime  = 16 * time.Second
+	answersTime  = 72 * time.Second
 	streamPause  = 12 * time.Millisecond
 	clientGap    = 6400 * time.Millisecond
 	faultyServer = 16
@@ -22,6 +21,7 @@
 // playAnswers lets all replicas of one service write heads that do not end.
 func playAnswers(p *play) (int, error) {
 	f := newFleet(p.binary, p.folder, 3, 2, machineMB, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
@@ -29,11 +29,10 @@
 	if err := f.order("/Config.Replace", modelRules); err != nil {
 		return unable, err
 	}
-	var running atomic.Int64
+	var runs atomic.Int64
 	fields := shortFields(60 << 10)
 	answer := func(s *server, conn net.Conn, r *httpRequest, _ []byte) bool {
-		running.Add(1)
-		defer running.Add(-1)
+		runs.Add(1)
 		p.printf("%s runs %s", s.id, r.Header.Get("Attempt-Id"))
 		if !p.trouble {
 			time.Sleep(2 * time.Second)
@@ -55,26 +54,10 @@
 		return unable, err
 	}
 	time.Sleep(2 * time.Second)
-	e := f.entries[0]
 	end := time.Now().Add(answersTime)
-	killed, peak := 0, 0
-	var work sync.WaitGroup
-	work.Go(func() { killed, peak = f.limitMemory(e, end) })
-	for n := 0; time.Now().Before(end); n++ {
-		id := fmt.Sprintf("reply-%d", n)
-		work.Go(func() {
-			status, text := send(e.ip, "POST", "/reply/"+id, id, fmt.Sprintf("key-%d", 1+n%2), "Model: m\r\nToken-Count: 800,80\r\nPrefix-Hash: a1:400,b2:200,c3:200\r\nContent-Length: 0\r\n", clientGap)
-			p.printf("%s at %s: %d %.40q", id, e.name, status, text)
-		})
-		if n%100 == 0 {
-			p.printf("%d requests at the servers, %s uses %d MB", running.Load(), e.name, e.memoryKB("RssAnon")>>10)
-		}
-		time.Sleep(streamPause)
-	}
-	work.Wait()
-	p.printf("%s used up to %d MB of %d, and was ended %d times for that", e.name, peak>>10, machineMB, killed)
-	if killed > 0 {
-		return broken, nil
-	}
-	return held, nil
+	return f.judgeMemory(p, end, func(e *process, n int) {
+		id := fmt.Sprintf("reply-%s-%d", e.name, n)
+		status, text := send(e.ip, "POST", "/reply/"+id, id, fmt.Sprintf("key-%d", 1+n%2), "Model: m\r\nToken-Count: 800,80\r\nPrefix-Hash: a1:400,b2:200,c3:200\r\nContent-Length: 0\r\n", clientGap)
+		p.printf("%s at %s: %d %.40q", id, e.name, status, text)
+	}, streamPause, func() bool { return runs.Load() > 0 })
 }
--- a/review/_tools-3/probe/budget.go
+++ b/review/_tools-3/probe/budget.go
@@ -35,6 +35,7 @@
 
 func playBudget(p *play) (int, error) {
 	f := newFleet(p.binary, p.folder, 3, 4, 284, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
--- a/review/_tools-3/probe/evidence.go
+++ b/review/_tools-3/probe/evidence.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,11 +17,12 @@
 	// promptClients are at each entry daemon.
 	promptClients = 32
 	promptBytes   = 15 << 10
-	ackTime       = 4 * time.Second
+	ackTime       = 4*time.Second + 2*3*time.Millisecond
 	firstEvent    = 3 * time.Second
-	// crashes is the number of replicas that crash for good, one each crashPause, of modelServers.
+	// crashes is the number of replicas, of modelServers, that crash, one each crashPause. Each is back after downTime.
 	crashes      = 4
 	crashPause   = 7 * time.Second
+	downTime     = 4500 * time.Millisecond
 	modelServers = 6
 )
 
@@ -36,6 +38,7 @@
 // playEvidence lets replicas crash, one after the other, while they run prompts of many parts, and sends configurations beside.
 func playEvidence(p *play) (int, error) {
 	f := newFleet(p.binary, p.folder, 3, 3, 284, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
@@ -61,6 +64,8 @@
 	}
 	time.Sleep(2 * time.Second)
 	end := time.Now().Add(evidenceTime)
+	var calm atomic.Bool
+	calm.Store(true)
 	var work sync.WaitGroup
 	for i, e := range f.entries {
 		for c := range promptClients {
@@ -77,27 +82,40 @@
 	}
 	if p.trouble {
 		work.Go(func() {
+			time.Sleep(downTime)
 			for i := range crashes {
-				time.Sleep(crashPause)
+				time.Sleep(crashPause - downTime)
 				p.printf("%s crashes", servers[i].id)
 				servers[i].crash()
+				calm.Store(false)
+				time.Sleep(downTime)
+				again := &server{id: servers[i].id + "-again", service: "model", slots: 64, handle: stream}
+				if err := f.addServer(again, 10+i); err != nil {
+					p.printf("restart of a replica: %v", err)
+				}
 			}
 		})
 	}
-	worst := time.Duration(0)
+	worst, worstCalm := time.Duration(0), time.Duration(0)
 	for version := 2; time.Now().Before(end); version++ {
 		text := strings.Replace(modelRules, `"version": 1`, fmt.Sprintf(`"version": %d`, version), 1)
-		began := time.Now()
+		inCalm, began := calm.Load(), time.Now()
 		if err := f.order("/Config.Replace", text); err != nil {
 			p.printf("version %d: %v", version, err)
 		}
 		took := time.Since(began)
 		worst = max(worst, took)
+		if inCalm && calm.Load() {
+			worstCalm = max(worstCalm, took)
+		}
 		p.printf("version %d acknowledged after %v", version, took)
 		time.Sleep(300 * time.Millisecond)
 	}
 	work.Wait()
 	p.printf("longest time to an acknowledgement: %v", worst)
+	if worstCalm > time.Second {
+		return unable, fmt.Errorf("before the first crash, an acknowledgement took %v", worstCalm)
+	}
 	if worst > ackTime {
 		return broken, nil
 	}
--- a/review/_tools-3/probe/fleet.go
+++ b/review/_tools-3/probe/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -333,6 +334,48 @@
 	return killed, peak
 }
 
+// endsOfRule and machinesOfRule are of the rule: a day counts 0 if on a tenth of the machines, two at least, processes end by
+// themselves three times.
+const (
+	endsOfRule     = 3
+	machinesOfRule = 2
+)
+
+// judgeMemory sends a request to each entry daemon, again and again, while the platform limits their memory. The rule is broken if the
+// platform had to end processes endsOfRule times on machinesOfRule machines. happened reports whether the case was played.
+func (f *fleet) judgeMemory(p *play, end time.Time, request func(e *process, n int), pause time.Duration, happened func() bool) (int, error) {
+	var work sync.WaitGroup
+	ended := make([]int, len(f.entries))
+	for i, e := range f.entries {
+		work.Go(func() {
+			var peak int
+			ended[i], peak = f.limitMemory(e, end)
+			p.printf("%s used up to %d MB of %d, and was ended %d times for that", e.name, peak>>10, f.memory, ended[i])
+		})
+		work.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				work.Go(func() { request(e, n) })
+				time.Sleep(pause)
+			}
+		})
+	}
+	work.Wait()
+	machines := 0
+	for _, n := range ended {
+		if n >= endsOfRule {
+			machines++
+		}
+	}
+	p.printf("on %d machines processes were ended %d times or more", machines, endsOfRule)
+	switch {
+	case machines >= machinesOfRule:
+		return broken, nil
+	case !happened():
+		return unable, errors.New("the clients or replicas did not do what the case needs")
+	}
+	return held, nil
+}
+
 // askReadiness asks an entry daemon once a second whether it is ready, as the platform does.
 func (f *fleet) askReadiness(p *process, end time.Time) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/_tools-3/probe/heads.go
+++ b/review/_tools-3/probe/heads.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -24,7 +24,9 @@
 	machineDescriptors = 4100
 	headClients        = 500
 	headBytes          = 62 << 10
-	headsTime          = 12 * time.Second
+	headsTime          = 42 * time.Second
+	// headPause is the time after which a client whose connection has ended opens another one.
+	headPause = 500 * time.Millisecond
 )
 
 // shortFields returns header fields with names that are as short as possible.
@@ -51,6 +53,7 @@
 		return unable, fmt.Errorf("%d descriptors: %w", machineDescriptors, err)
 	}
 	f := newFleet(p.binary, p.folder, 3, 2, machineMB, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
@@ -69,47 +72,37 @@
 		return unable, err
 	}
 	time.Sleep(2 * time.Second)
-	e := f.entries[0]
-	if status, text := send(e.ip, "GET", "/look/first", "first", "key-1", "", 4*time.Second); status != 200 {
-		return unable, fmt.Errorf("first request: %d %s", status, text)
+	for _, e := range f.entries {
+		if status, text := send(e.ip, "GET", "/look/first", "first", "key-1", "", 4*time.Second); status != 200 {
+			return unable, fmt.Errorf("first request: %d %s", status, text)
+		}
 	}
-	end := time.Now().Add(headsTime)
-	killed, peak := 0, 0
-	var work sync.WaitGroup
-	work.Go(func() { killed, peak = f.limitMemory(e, end) })
-	head := "GET /look/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: crowd\r\nAuthorization: Token key-1\r\n"
+	head := "GET /look/1 HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: crowd\r\nAuthorization: Token key-1\r\n\r\n"
 	if p.trouble {
 		head = "GET /look/1 HTTP/1.1\r\nHost: desk.example\r\n" + shortFields(headBytes)
-	} else {
-		head += "\r\n"
 	}
-	p.printf("%d clients open a connection each and send %d bytes", headClients, len(head))
+	p.printf("%d clients at each entry daemon open a connection and send %d bytes", headClients, len(head))
+	end := time.Now().Add(headsTime)
 	var opened atomic.Int64
-	for range headClients {
-		work.Go(func() {
-			conn, err := net.Dial("tcp", at(e.ip, callerPort))
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			if _, err = conn.Write([]byte(head)); err == nil {
-				opened.Add(1)
-			}
-			time.Sleep(time.Until(end))
-		})
-	}
-	for n := 0; time.Now().Before(end); n++ {
-		id := fmt.Sprintf("look-%d", n)
-		work.Go(func() {
-			status, text := send(e.ip, "GET", "/look/"+id, id, "key-1", "", 4*time.Second)
-			p.printf("%s at %s: %d %.60q", id, e.name, status, text)
-		})
-		time.Sleep(200 * time.Millisecond)
-	}
-	work.Wait()
-	p.printf("%d connections sent their bytes; %s used up to %d MB of %d, and was ended %d times for that", opened.Load(), e.name, peak>>10, machineMB, killed)
-	if killed > 0 {
-		return broken, nil
+	for _, e := range f.entries {
+		for range headClients {
+			go func() {
+				for time.Now().Before(end) {
+					if conn, err := net.DialTimeout("tcp", at(e.ip, callerPort), time.Second); err == nil {
+						opened.Add(1)
+						_ = conn.SetDeadline(end)
+						_, _ = io.WriteString(conn, head)
+						_, _ = io.Copy(io.Discard, conn)
+						_ = conn.Close()
+					}
+					time.Sleep(headPause)
+				}
+			}()
+		}
 	}
-	return held, nil
+	return f.judgeMemory(p, end, func(e *process, n int) {
+		id := fmt.Sprintf("look-%s-%d", e.name, n)
+		status, text := send(e.ip, "GET", "/look/"+id, id, "key-1", "", 4*time.Second)
+		p.printf("%s at %s: %d %.60q", id, e.name, status, text)
+	}, 200*time.Millisecond, func() bool { return opened.Load() >= 2*headClients })
 }
--- a/review/_tools-3/probe/long.go
+++ b/review/_tools-3/probe/long.go
@@ -32,6 +32,7 @@
 // playLong lets clients fetch long answers over kept connections.
 func playLong(p *play) (int, error) {
 	f := newFleet(p.binary, p.folder, 3, 2, machineMB, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
--- a/review/_tools-3/probe/main.go
+++ b/review/_tools-3/probe/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,7 @@
 	*record
 	binary, folder string
 	trouble        bool
+	fleet          *fleet
 }
 
 func main() {
@@ -59,12 +61,50 @@
 		return unable
 	}
 	p := &play{record: &record{out: out, began: time.Now()}, binary: binary, folder: folder, trouble: os.Getenv("TROUBLE") != "0"}
+	stalled := watchStalls()
 	result, err := cases[name](p)
 	if err != nil {
 		p.printf("could not run: %v", err)
 		fmt.Println("could not run:", err)
 		return unable
 	}
+	if longest := time.Duration(stalled.Load()); result == broken && longest > maxStall {
+		p.printf("the script itself stood still for %v, so the result says nothing", longest)
+		result = unable
+	}
+	if result == broken && p.ownEnds() > 0 {
+		p.printf("%d processes ended by themselves, which is not what the case shows", p.ownEnds())
+		result = unable
+	}
 	p.printf("result %d", result)
 	return result
 }
+
+// maxStall is the longest pause of the script with which a broken rule is reported.
+const maxStall = 500 * time.Millisecond
+
+// watchStalls returns the longest time by which a timer of the script was late.
+func watchStalls() *atomic.Int64 {
+	const tick = 20 * time.Millisecond
+	var longest atomic.Int64
+	go func() {
+		for last := time.Now(); ; {
+			time.Sleep(tick)
+			now := time.Now()
+			longest.Store(max(longest.Load(), int64(now.Sub(last)-tick)))
+			last = now
+		}
+	}()
+	return &longest
+}
+
+// ownEnds returns how often processes ended that nobody ended.
+func (p *play) ownEnds() int {
+	n := 0
+	for _, process := range p.fleet.all() {
+		process.mu.Lock()
+		n += process.ends
+		process.mu.Unlock()
+	}
+	return n
+}
--- a/review/_tools-3/probe/parts.go
+++ b/review/_tools-3/probe/parts.go
@@ -28,10 +28,17 @@
 	longPause   = 100 * time.Millisecond
 )
 
+// calmRequests are sent before the long heads; a machine that needs more than calmTime for one is too slow for the case.
+const (
+	calmRequests = 20
+	calmTime     = time.Second
+)
+
 // playParts lets one client at each entry daemon send prompts in heads over the limit, one after the other, beside ordinary
 // requests of another tenant.
 func playParts(p *play) (int, error) {
 	f := newFleet(p.binary, p.folder, 3, 2, 284, p.record)
+	p.fleet = f
 	defer f.stop()
 	if err := f.start(); err != nil {
 		return unable, err
@@ -63,6 +70,13 @@
 	if status, text := send(f.entries[0].ip, "GET", "/look/first", "first", "key-1", "", routeTimeout); status != 200 {
 		return unable, fmt.Errorf("first request: %d %s", status, text)
 	}
+	for n := range calmRequests {
+		began := time.Now()
+		status, _ := send(f.entries[n%2].ip, "GET", "/look/calm", fmt.Sprintf("calm-%d", n), "key-1", "", routeTimeout)
+		if took := time.Since(began); status != 200 || took > calmTime {
+			return unable, fmt.Errorf("in calm, a request got %d after %v", status, took)
+		}
+	}
 	parts := "5c1e07a2:400,91bd3f06:200,e4402b7d:200"
 	if p.trouble {
 		parts = strings.TrimSuffix(strings.Repeat("a:1,", 15500), ",")
